--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -0,0 +1,82 @@
+"""What the entry refuses before any work is done for it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.pressure.level import RefusalLevel
+
+if TYPE_CHECKING:
+    import random
+
+    from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap.core.routes.model import Route
+    from fuchsiagap_node.core.mesh.peers import Peers
+    from fuchsiagap_node.core.mesh.telling import Teller
+
+# Milliseconds between two steps of the levels: a few within one reaction time.
+STEP_MS = 100.0
+# Milliseconds after which a refused caller may come back, at least and at most; in
+# between it follows the share that is refused.
+_RETRY_AFTER_MS = (300.0, 1_500.0)
+
+
+class Admission:
+    """Refusal levels of the services that requests of this node go to.
+
+    Parameters
+    ----------
+    peers : Peers
+        Doors and their fullness.
+    clock : Clock
+        Time in milliseconds.
+    rng : random.Random
+        Draws which requests of a partly refused rank are let in.
+    teller : Teller
+        Logs.
+    """
+
+    def __init__(
+        self, peers: Peers, clock: Clock, rng: random.Random, teller: Teller
+    ) -> None:
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._tell = teller
+        self._levels: dict[str, RefusalLevel] = {}
+        self._stepped_at = clock.now()
+
+    def step(self) -> None:
+        """Let each level follow the fullness of its service."""
+        now = self._clock.now()
+        elapsed, self._stepped_at = now - self._stepped_at, now
+        for service, level in self._levels.items():
+            was_open = level.cut == 0.0
+            fullness = self._peers.fullness(service)
+            level.step(fullness, min(elapsed, 5 * STEP_MS))
+            if was_open != (level.cut == 0.0):
+                self._tell.event(
+                    "admission-changed",
+                    service=service,
+                    fullness=round(fullness, 2),
+                    refusing=was_open,
+                )
+
+    def admitted_share(self, service: str, route: Route, lowest_rank: int) -> float:
+        """Return the share of a route's requests that is let in now."""
+        level = self._levels.get(service)
+        if level is None:
+            level = self._levels[service] = RefusalLevel()
+        if level.cut == 0.0:
+            return 1.0
+        return level.admitted(max(lowest_rank - route.priority, 0))
+
+    def admits(self, share: float) -> bool:
+        """Draw whether one request is let in."""
+        return share >= 1.0 or self._rng.random() < share
+
+    def retry_after(self, share: float) -> Milliseconds:
+        """Return when a refused caller may come back."""
+        least, most = _RETRY_AFTER_MS
+        wait = least + (most - least) * (1.0 - share)
+        return wait * (0.8 + 0.4 * self._rng.random())
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -0,0 +1,286 @@
+"""Messages between nodes: length-prefixed CBOR on one TCP connection.
+
+Plain frames stand here in place of websockets: on the path of a request the websocket
+layer costs as much as everything else a link does, and a link carries no other
+protocol.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeAlias
+
+import cbor2
+
+from fuchsiagap_node.core.mesh.outcome import Answered, MayHaveRun, NotRun, Outcome
+
+# Largest frame: a body at the usual limit of 64 MB and its head.
+MAX_FRAME_BYTES = 80_000_000
+_PREFIX_BYTES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First frame of the dialling node, and of the node that was dialled.
+
+    Parameters
+    ----------
+    node, incarnation : str
+        Name of the node, and what tells this process from an earlier one.
+    address : str
+        Where the node takes links.
+    data_centre, service : str
+        Where it stands, and the service of the backend server beside it.
+    """
+
+    node: str
+    incarnation: str
+    address: str
+    data_centre: str
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class Status:
+    """What a door says of its backend server, when it changes and with answers.
+
+    Parameters
+    ----------
+    instance : str
+        Incarnation that takes requests; empty if none does.
+    limit, load : int
+        Places, and requests that run or wait.
+    failing : float
+        Share of recent requests that ended refused or broken.
+    warming : bool
+        Whether the server is in its warm-up.
+    below : float
+        Fullness of the fullest service that the server calls.
+    calls : bool
+        Whether its requests make calls of their own.
+    revision : int
+        Revision of the configuration that this node has adopted.
+    """
+
+    instance: str
+    limit: int
+    load: int
+    failing: float
+    warming: bool
+    below: float
+    calls: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request on its way to a door.
+
+    Parameters
+    ----------
+    call_id : int
+        Number, unique on the link.
+    instance : str
+        Incarnation that alone may run it.
+    head : bytes
+        Request line and header lines, but for the deadline and the empty line.
+    body : bytes
+        Whole body.
+    left : float
+        Milliseconds until the sender gives its caller a final answer.
+    rank : int
+        Order in the queue; the least goes first.
+    idempotent : bool
+        Whether it may be cancelled and repeated.
+    request_id : str
+        Identifier of the caller's attempt.
+    """
+
+    call_id: int
+    instance: str
+    head: bytes
+    body: bytes
+    left: float
+    rank: int
+    idempotent: bool
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What became of a call, with the load of the door."""
+
+    call_id: int
+    outcome: Outcome
+    load: int
+    below: float
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """The sender no longer wants a call."""
+
+    call_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks for a `Pong`, so that silence can be told from idleness."""
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """Answers a `Ping`."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigWanted:
+    """Asks for the configuration that the other node has adopted."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigText:
+    """The configuration as the platform holds it.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the object.
+    text : bytes
+        Its content, encoded as the platform encodes it.
+    """
+
+    revision: int
+    text: bytes
+
+
+Message: TypeAlias = (
+    Hello | Status | Call | Reply | Cancel | Ping | Pong | ConfigWanted | ConfigText
+)
+
+_HELLO, _STATUS, _CALL, _CANCEL, _PING, _PONG, _WANTED, _CONFIG = range(8)
+_ANSWERED, _NOT_RUN, _MAY_HAVE_RUN = range(10, 13)
+
+
+class BadFrame(Exception):
+    """A frame that is none of the messages."""
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame of a message."""
+    payload = cbor2.dumps(_fields(message))
+    return len(payload).to_bytes(_PREFIX_BYTES, "big") + payload
+
+
+def _fields(message: Message) -> list[object]:
+    match message:
+        case Call() as m:
+            return [
+                _CALL,
+                m.call_id,
+                m.instance,
+                m.head,
+                m.body,
+                m.left,
+                m.rank,
+                m.idempotent,
+                m.request_id,
+            ]
+        case Reply(call_id, outcome, load, below):
+            return _reply_fields(call_id, outcome, load, below)
+        case Status() as m:
+            return [
+                _STATUS,
+                m.instance,
+                m.limit,
+                m.load,
+                m.failing,
+                m.warming,
+                m.below,
+                m.calls,
+                m.revision,
+            ]
+        case Cancel(call_id):
+            return [_CANCEL, call_id]
+        case Ping():
+            return [_PING]
+        case Pong():
+            return [_PONG]
+        case Hello() as m:
+            return [_HELLO, m.node, m.incarnation, m.address, m.data_centre, m.service]
+        case ConfigWanted():
+            return [_WANTED]
+        case ConfigText(revision, text):
+            return [_CONFIG, revision, text]
+
+
+def _reply_fields(
+    call_id: int, outcome: Outcome, load: int, below: float
+) -> list[object]:
+    match outcome:
+        case Answered(status, reason, headers, body):
+            return [_ANSWERED, call_id, load, below, status, reason, headers, body]
+        case NotRun(why, offered):
+            return [_NOT_RUN, call_id, load, below, why, offered]
+        case MayHaveRun(why):
+            return [_MAY_HAVE_RUN, call_id, load, below, why]
+
+
+def decode(payload: bytes) -> Message:
+    """Return the message of a frame's payload; `BadFrame` if it is none."""
+    try:
+        fields = cbor2.loads(payload)
+        return _message(fields[0], fields[1:])
+    except (cbor2.CBORDecodeError, TypeError, IndexError, KeyError, ValueError) as exc:
+        raise BadFrame(f"{type(exc).__name__}: {exc}") from exc
+
+
+def _message(kind: int, rest: list[object]) -> Message:
+    if kind >= _ANSWERED:
+        call_id, load, below, *outcome = rest
+        return Reply(call_id, _OUTCOMES[kind](*outcome), load, below)  # type: ignore[arg-type]
+    return _KINDS[kind](*rest)
+
+
+_KINDS = {
+    _HELLO: Hello,
+    _STATUS: Status,
+    _CALL: Call,
+    _CANCEL: Cancel,
+    _PING: Ping,
+    _PONG: Pong,
+    _WANTED: ConfigWanted,
+    _CONFIG: ConfigText,
+}
+_OUTCOMES = {_ANSWERED: Answered, _NOT_RUN: NotRun, _MAY_HAVE_RUN: MayHaveRun}
+
+
+class FrameReader:
+    """Cuts the bytes of a link into messages."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Message]:
+        """Take in bytes and return the messages that they complete.
+
+        Raises
+        ------
+        BadFrame
+            If they are no frames; the link has to be closed.
+        """
+        buffer = self._buffer
+        buffer += data
+        messages: list[Message] = []
+        start = 0
+        while len(buffer) - start >= _PREFIX_BYTES:
+            body = start + _PREFIX_BYTES
+            size = int.from_bytes(buffer[start:body], "big")
+            if size > MAX_FRAME_BYTES:
+                raise BadFrame(f"frame of {size} bytes, at most {MAX_FRAME_BYTES}")
+            if len(buffer) < body + size:
+                break
+            messages.append(decode(bytes(buffer[body : body + size])))
+            start = body + size
+        del buffer[:start]
+        return messages
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_call.py
@@ -0,0 +1,98 @@
+"""One HTTP call after the other on a kept connection, for calls beside the path."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap_node.core.mesh.http_answer import AnswerReader, BadAnswer
+from fuchsiagap_node.core.mesh.stream import BrokenStream, Stream, dial
+
+if TYPE_CHECKING:
+    from fuchsiagap.core.clock import Milliseconds
+    from fuchsiagap_node.core.mesh.http_answer import Answer
+    from fuchsiagap_node.core.mesh.http_names import HeaderNames
+
+_DIAL_MS = 1_000.0
+
+
+class CallFailed(Exception):
+    """No whole answer came; the call may have taken effect."""
+
+
+class HttpCaller:
+    """A client for one server.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    names : HeaderNames
+        Header names.
+    """
+
+    def __init__(self, address: str, names: HeaderNames) -> None:
+        self._address = address
+        self._names = names
+        self._stream: Stream | None = None
+
+    async def call(
+        self, method: str, target: str, body: bytes, wait: Milliseconds
+    ) -> Answer:
+        """Send a request and return its answer.
+
+        Parameters
+        ----------
+        method, target : str
+            Method and target.
+        body : bytes
+            JSON body, or nothing.
+        wait : float
+            Milliseconds until it is given up.
+
+        Raises
+        ------
+        CallFailed
+            Without a whole answer in time.
+        """
+        answer: Answer | None = None
+        with trio.move_on_after(wait / MS_PER_S):
+            try:
+                answer = await self._call(method, target, body)
+            except (BrokenStream, BadAnswer) as exc:
+                self.close()
+                raise CallFailed(f"{method} {target}: {exc}") from exc
+        if answer is None:
+            self.close()
+            raise CallFailed(f"{method} {target}: no answer within {wait:.0f} ms")
+        if not answer.keep_alive:
+            self.close()
+        return answer
+
+    async def _call(self, method: str, target: str, body: bytes) -> Answer:
+        stream = self._stream
+        if stream is None or not stream.is_quiet():
+            self.close()
+            stream = self._stream = await dial(self._address, _DIAL_MS)
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
+        if body:
+            lines.append("Content-Type: application/json")
+        if body or method in ("POST", "PUT"):
+            lines.append(f"Content-Length: {len(body)}")
+        await stream.send("\r\n".join([*lines, "", ""]).encode() + body)
+        reader = AnswerReader(self._names)
+        while True:
+            data = await stream.receive()
+            answers = reader.feed(data) if data else reader.end()
+            if answers:
+                return answers[0]
+            if not data:
+                raise BadAnswer("the connection ended without an answer")
+
+    def close(self) -> None:
+        """Close the connection, if there is one."""
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -0,0 +1,239 @@
+"""One node, put together, from its start to its planned stop."""
+
+from __future__ import annotations
+
+import gc
+import random
+import secrets
+import signal
+from typing import TYPE_CHECKING
+
+import trio
+
+from fuchsiagap.core.clock import MS_PER_S, trio_clock
+from fuchsiagap.core.routes.table import RouteTable, ShareRotation
+from fuchsiagap_node.core.mesh.admission import STEP_MS, Admission
+from fuchsiagap_node.core.mesh.below import CalledServices
+from fuchsiagap_node.core.mesh.callers import CallerEdge
+from fuchsiagap_node.core.mesh.config_sync import ConfigSync
+from fuchsiagap_node.core.mesh.door import Door
+from fuchsiagap_node.core.mesh.entry import Entry, Final
+from fuchsiagap_node.core.mesh.frames import Hello, Status
+from fuchsiagap_node.core.mesh.member_sync import MemberSync
+from fuchsiagap_node.core.mesh.own_door import OwnDoor
+from fuchsiagap_node.core.mesh.peers import Peers
+from fuchsiagap_node.core.mesh.sending import Member, SendingLink
+from fuchsiagap_node.core.mesh.side_http import serve_side
+from fuchsiagap_node.core.mesh.stream import accept_all, listen
+from fuchsiagap_node.core.mesh.taking import TakingLinks
+from fuchsiagap_node.core.mesh.telling import Teller
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fuchsiagap.core.clock import Clock
+    from fuchsiagap.core.door.incarnation import BackendReport
+    from fuchsiagap_node.core.mesh.http_request import Request
+    from fuchsiagap_node.core.mesh.settings import MeshSettings
+    from fuchsiagap_node.core.mesh.store import Store, StoredConfig
+
+# Milliseconds between two looks at whether the door's status is worth sending.
+_STATUS_MS = 250.0
+# Milliseconds after SIGTERM for which callers still send here: the platform asks once a
+# second and takes a node out after two misses.
+_KNOWN_AS_READY_MS = 2_500.0
+# Milliseconds before the end of the time to stop at which the process ends by itself.
+_STOP_MARGIN_MS = 700.0
+# Objects between two collections of the youngest generation: the path makes few cycles,
+# and at the default of 700 collections took several in a hundred of the time.
+_GC_YOUNG = 20_000
+
+
+class Node:
+    """A node of a deployment.
+
+    Parameters
+    ----------
+    cfg : MeshSettings
+        Settings.
+    store : Store
+        The platform's store.
+    read_report : callable
+        Returns what a backend server says in a request to the reports address, or
+        None for what is no report.
+    clock : Clock, optional
+        Clock of the process; by default that of the running loop.
+    """
+
+    def __init__(
+        self,
+        cfg: MeshSettings,
+        store: Store,
+        read_report: Callable[[Request], BackendReport | None],
+        clock: Clock | None = None,
+    ) -> None:
+        clock = clock or trio_clock()
+        rng = random.Random()
+        self.cfg = cfg
+        self._clock = clock
+        self._read_report = read_report
+        self.tell = tell = Teller(cfg.node, clock)
+        self.door = Door(cfg, clock, tell)
+        self._peers = Peers(cfg.data_centre)
+        self._own = OwnDoor(cfg.node, cfg.service, self.door, clock)
+        self._peers.put(self._own)
+        self._called = CalledServices(self._peers, clock)
+        self._admission = Admission(self._peers, clock, rng, tell)
+        self._rotation = ShareRotation()
+        self.entry = Entry(
+            cfg, self._peers, self._admission, self._rotation, clock, rng, tell
+        )
+        self.entry.on_call = self._called.note
+        self._callers = CallerEdge(cfg, self.entry, clock, tell)
+        self._callers.is_call = self._is_backend
+        self._config = ConfigSync(store, clock, tell, self._adopt)
+        own = Member(
+            cfg.node,
+            secrets.token_hex(6),
+            cfg.addresses.peers,
+            cfg.data_centre,
+            cfg.service,
+        )
+        hello = Hello(
+            own.node, own.incarnation, own.address, own.data_centre, own.service
+        )
+        self._members = MemberSync(own, hello, self._peers, store, clock, tell)
+        self._members.on_link = self._prepare_link
+        self._taking = TakingLinks(hello, self.door, self._status, clock, tell)
+        self._taking.on_hello = self._members.take_hello
+        self._taking.config_text = self._config.text
+        self._taking.below = self._called.fullness
+        self.door.changed = self._tell_status
+
+    def _is_backend(self, stream: object) -> bool:
+        """Whether a connection comes from the backend server on this host."""
+        return getattr(stream, "peer", str)() == self.cfg.ip
+
+    def _prepare_link(self, link: SendingLink) -> None:
+        link.on_status = self._config.peer_has
+        link.on_config = lambda text: self._config.take_text(text, link.member.node)
+
+    def _adopt(self, stored: StoredConfig) -> None:
+        """Put a configuration in force."""
+        self.entry.table = RouteTable(stored.config)
+        self._rotation.adopt(stored.config)
+        self._callers.limits = stored.config.limits
+        self._tell_status()
+
+    def _status(self) -> Status:
+        return Status(
+            self.door.instance(),
+            self.door.limit,
+            self.door.load,
+            round(self.door.failing(), 1),
+            self.door.is_warming(),
+            round(self._called.fullness(), 1),
+            self._called.any(),
+            self._config.revision,
+        )
+
+    def _tell_status(self) -> None:
+        self._own.take_status(self._status())
+        self._taking.tell_status()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then stop without cutting anything."""
+        gc.set_threshold(_GC_YOUNG, 20, 50)
+        gc.freeze()
+        cfg = self.cfg
+        names = cfg.names
+        self.tell.event("started", service=cfg.service, data_centre=cfg.data_centre)
+        async with trio.open_nursery() as nursery:
+            self._config.nursery = nursery
+            self._members.nursery = nursery
+            for work in (self.tell.run, self.door.run, self._step):
+                nursery.start_soon(work)
+            at = cfg.addresses
+            for address, serve in (
+                (at.callers, self._callers.serve),
+                (at.peers, self._taking.serve),
+            ):
+                nursery.start_soon(accept_all, listen(address), serve, nursery)
+            sides = [(at.health, self._answer_health), (at.reports, self._answer_report)]
+            if at.metrics:
+                sides.append((at.metrics, self._answer_metrics))
+            for address, handle in sides:
+                nursery.start_soon(serve_side, address, handle, names, self.tell)
+            for work in (self._config.run, self._members.run):
+                nursery.start_soon(work)
+            await self._wait_for_stop()
+            await self._stop()
+            nursery.cancel_scope.cancel()
+        self.tell.event("stopped")
+        self.tell.flush()
+
+    async def _step(self) -> None:
+        """Step the admission levels and send the door's status when it changes."""
+        since = 0.0
+        while True:
+            await trio.sleep(STEP_MS / MS_PER_S)
+            self._admission.step()
+            since += STEP_MS
+            if since >= _STATUS_MS:
+                since = 0.0
+                self._tell_status()
+
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return self.entry.table is not None and not self.door.leaving
+
+    def _answer_health(self, req: Request) -> Final:
+        if not req.target.startswith(self.cfg.health_path.encode()):
+            return Final(404)
+        return Final(200 if self.is_ready() else 503)
+
+    def _answer_report(self, req: Request) -> Final:
+        report = self._read_report(req)
+        if report is None:
+            self.tell.event("report-unreadable", target=req.target.decode("latin-1"))
+            return Final(400)
+        self.door.take_report(report)
+        return Final(200, headers=b"Content-Type: application/json\r\n", body=b"{}")
+
+    def _answer_metrics(self, _: Request) -> Final:
+        kind = b"Content-Type: text/plain; version=0.0.4\r\n"
+        return Final(200, headers=kind, body=self.tell.metrics().encode())
+
+    async def _wait_for_stop(self) -> None:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    self.tell.event("stopping", signal=number)
+                    return
+                self.tell.event("settings-changed")
+
+    async def _stop(self) -> None:
+        """Refuse what is new at the door, finish what is in progress, and end."""
+        started = self._clock.now()
+        gone = not self.door.instance()
+        self.door.leaving = True
+        self.door.turn_away("leaving")
+        self._tell_status()
+        if gone:
+            await self._members.withdraw()
+        last = started + self.cfg.bounds.stop - _STOP_MARGIN_MS
+        while self._clock.now() < last:
+            if self._clock.now() - started >= _KNOWN_AS_READY_MS:
+                self._callers.closing = True
+                self._callers.close_idle()
+                if not self._callers.in_progress and not self.door.running:
+                    break
+            await trio.sleep(0.05)
+        self.tell.event(
+            "ending",
+            callers=self._callers.in_progress,
+            running=self.door.running,
+            took=round(self._clock.now() - started),
+        )
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
@@ -0,0 +1,75 @@
+"""The doors that this node can send to, over links and its own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from fuchsiagap.core.placement.choice import Target, service_fullness
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from fuchsiagap_node.core.mesh.frames import Call
+    from fuchsiagap_node.core.mesh.outcome import Outcome
+
+
+class Peer(Protocol):
+    """A door, as a sender sees it."""
+
+    target: Target
+
+    def send(self, call: Call, reply: Callable[[Outcome], None]) -> None:
+        """Send a call; `reply` is told its outcome, once."""
+
+    def cancel(self, call_id: int) -> None:
+        """Say that a call is no longer wanted."""
+
+
+class Peers:
+    """Doors by service.
+
+    Parameters
+    ----------
+    data_centre : str
+        This node's data centre.
+    """
+
+    def __init__(self, data_centre: str) -> None:
+        self.data_centre = data_centre
+        self._by_node: dict[str, Peer] = {}
+        self._by_service: dict[str, dict[str, Peer]] = {}
+        self._called: dict[str, float] = {}
+
+    def put(self, peer: Peer) -> None:
+        """Add a door, or replace the one of the same node."""
+        self.drop(peer.target.node)
+        self._by_node[peer.target.node] = peer
+        self._by_service.setdefault(peer.target.service, {})[peer.target.node] = peer
+
+    def drop(self, node: str) -> None:
+        """Remove the door of a node."""
+        peer = self._by_node.pop(node, None)
+        if peer is not None:
+            self._by_service[peer.target.service].pop(node, None)
+
+    def get(self, node: str) -> Peer | None:
+        """Return the door of a node."""
+        return self._by_node.get(node)
+
+    def count(self) -> int:
+        """Return how many doors are known."""
+        return len(self._by_node)
+
+    def targets(self, service: str) -> Sequence[Target]:
+        """Return the backend servers of a service."""
+        doors = self._by_service.get(service)
+        return [peer.target for peer in doors.values()] if doors else []
+
+    def fullness(self, service: str) -> float:
+        """Return the fullness of a service or, if greater, of those that it calls."""
+        targets = self.targets(service)
+        usable = [target for target in targets if target.usable]
+        if not usable:
+            return 0.0
+        below = sum(target.below for target in usable) / len(usable)
+        return max(service_fullness(targets), below)
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -0,0 +1,244 @@
+"""The sending end of a link: one task for each node that this one sends to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap.core.placement.choice import Target
+from fuchsiagap_node.core.mesh.frames import (
+    BadFrame,
+    ConfigText,
+    Hello,
+    Ping,
+    Reply,
+    Status,
+)
+from fuchsiagap_node.core.mesh.link import FramedLink
+from fuchsiagap_node.core.mesh.outcome import LINK_LOST, MayHaveRun, NotRun
+from fuchsiagap_node.core.mesh.stream import BrokenStream, dial
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fuchsiagap.core.clock import Clock
+    from fuchsiagap_node.core.mesh.frames import Call, Message
+    from fuchsiagap_node.core.mesh.outcome import Outcome
+    from fuchsiagap_node.core.mesh.stream import Stream
+    from fuchsiagap_node.core.mesh.telling import Teller
+
+# Milliseconds to open a link; ten round trips between regions and room for a busy host.
+_DIAL_MS = 1_000.0
+# Milliseconds between two attempts to reach a node, doubled up to the second figure.
+_REDIAL_MS = 150.0
+_REDIAL_MAX_MS = 1_000.0
+# Milliseconds of silence after which a ping is sent.
+_PING_MS = 400.0
+# Milliseconds of silence after which nothing new is sent to the node.
+_SUSPECT_MS = 1_000.0
+# Milliseconds of silence after which the link is closed and its calls are given back.
+_LOST_MS = 2_200.0
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A node, as it announces itself.
+
+    Parameters
+    ----------
+    node, incarnation : str
+        Name, and what tells this process from an earlier one.
+    address : str
+        Where it takes links.
+    data_centre, service : str
+        Where it stands, and the service of the backend server beside it.
+    """
+
+    node: str
+    incarnation: str
+    address: str
+    data_centre: str
+    service: str
+
+
+class SendingLink:
+    """A door on another host.
+
+    Parameters
+    ----------
+    member : Member
+        The node.
+    hello : Hello
+        What this node says of itself.
+    local : bool
+        Whether the node stands in this node's data centre.
+    clock : Clock
+        Time in milliseconds.
+    teller : Teller
+        Logs and counters.
+
+    Attributes
+    ----------
+    target : Target
+        The backend server beside the node, as this node sees it.
+    revision : int
+        Revision of the configuration that the node has adopted.
+    on_config : callable
+        Told the configuration that the node sends.
+    on_status : callable
+        Told that the node's status changed.
+    """
+
+    def __init__(
+        self, member: Member, hello: Hello, local: bool, clock: Clock, teller: Teller
+    ) -> None:
+        self.member = member
+        self._hello = hello
+        self._clock = clock
+        self._tell = teller
+        self._link: FramedLink | None = None
+        self._pending: dict[int, Callable[[Outcome], None]] = {}
+        self.target = Target(member.node, "", member.service, local, usable=False)
+        self.revision = 0
+        self.on_config: Callable[[ConfigText], None] = _ignore
+        self.on_status: Callable[[SendingLink], None] = _ignore
+        self.scope = trio.CancelScope()
+
+    def send(self, call: Call, reply: Callable[[Outcome], None]) -> None:
+        """Send a call; `reply` is told its outcome, once."""
+        if self._link is None:
+            reply(NotRun(LINK_LOST))
+            return
+        self.target.mine += 1
+        self._pending[call.call_id] = reply
+        self._link.post(call, call.call_id)
+
+    def cancel(self, call_id: int) -> None:
+        """Say that a call is no longer wanted."""
+        if self._pending.pop(call_id, None) is not None:
+            self.target.mine -= 1
+            if self._link is not None:
+                self._link.withdraw(call_id)
+
+    def post(self, message: Message) -> None:
+        """Send a message if the link is up."""
+        if self._link is not None:
+            self._link.post(message)
+
+    async def run(self) -> None:
+        """Keep the link open until cancelled."""
+        wait = _REDIAL_MS
+        with self.scope:
+            while True:
+                started = self._clock.now()
+                try:
+                    stream = await dial(self.member.address, _DIAL_MS)
+                    await self._serve(stream)
+                except (BrokenStream, BadFrame) as exc:
+                    self._tell.event(
+                        "link-failed", to=self.member.node, cause=str(exc)
+                    )
+                if self._clock.now() - started > _REDIAL_MAX_MS:
+                    wait = _REDIAL_MS
+                await trio.sleep(wait / MS_PER_S)
+                wait = min(2 * wait, _REDIAL_MAX_MS)
+
+    async def _serve(self, stream: Stream) -> None:
+        link = FramedLink(stream, self._clock)
+        link.post(self._hello)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._guard, link.write, nursery)
+                nursery.start_soon(self._watch, link, nursery)
+                try:
+                    await self._receive(link)
+                except (BrokenStream, BadFrame) as exc:
+                    self._tell.event("link-down", to=self.member.node, cause=str(exc))
+                nursery.cancel_scope.cancel()
+        finally:
+            self._lose(link)
+            link.close()
+
+    async def _guard(self, write: Callable[[], object], nursery: trio.Nursery) -> None:
+        try:
+            await write()  # type: ignore[misc]
+        except BrokenStream as exc:
+            self._tell.event("link-down", to=self.member.node, cause=str(exc))
+            nursery.cancel_scope.cancel()
+
+    async def _watch(self, link: FramedLink, nursery: trio.Nursery) -> None:
+        """Ping a silent node, suspect it, and give the link up."""
+        while True:
+            await trio.sleep(_PING_MS / MS_PER_S)
+            silent = self._clock.now() - link.heard_at
+            if silent >= _LOST_MS:
+                self._tell.event("link-silent", to=self.member.node, silent=silent)
+                nursery.cancel_scope.cancel()
+            elif silent >= _SUSPECT_MS and self.target.usable:
+                self.target.usable = False
+                self._tell.event("node-suspected", node=self.member.node, silent=silent)
+            if silent >= _PING_MS * 0.9:
+                link.post(Ping())
+
+    async def _receive(self, link: FramedLink) -> None:
+        while True:
+            for message in await link.read():
+                match message:
+                    case Reply() as reply:
+                        self._take_reply(reply)
+                    case Status() as status:
+                        self._take_status(status)
+                    case ConfigText() as config:
+                        self.on_config(config)
+                    case Hello() as hello:
+                        self._check(hello, link)
+            if not self.target.usable and self.target.instance and self._link:
+                self.target.usable = True
+
+    def _check(self, hello: Hello, link: FramedLink) -> None:
+        """Make sure that the right node answers at the address."""
+        if hello.node != self.member.node or hello.service != self.member.service:
+            raise BrokenStream(f"{hello.node} answers at {self.member.address}")
+        self._link = link
+        self._tell.event("link-up", to=hello.node, incarnation=hello.incarnation)
+
+    def _take_reply(self, reply: Reply) -> None:
+        self.target.others = max(reply.load - self.target.mine, 0)
+        self.target.below = reply.below
+        on_outcome = self._pending.pop(reply.call_id, None)
+        if on_outcome is None:
+            self._tell.counts["late_replies", ""] += 1
+            return
+        self.target.mine -= 1
+        on_outcome(reply.outcome)
+
+    def _take_status(self, status: Status) -> None:
+        target = self.target
+        target.instance = status.instance
+        target.usable = bool(status.instance)
+        target.limit = status.limit
+        target.others = max(status.load - target.mine, 0)
+        target.failing = status.failing
+        target.warming = status.warming
+        target.below = status.below
+        target.calls = status.calls
+        self.revision = status.revision
+        self.on_status(self)
+
+    def _lose(self, link: FramedLink) -> None:
+        """Give back the calls of a link that has ended."""
+        self._link = None
+        self.target.usable = False
+        self.target.instance = ""
+        unsent = link.unsent()
+        pending, self._pending = self._pending, {}
+        self.target.mine = 0
+        for call_id, reply in pending.items():
+            reply(NotRun(LINK_LOST) if call_id in unsent else MayHaveRun(LINK_LOST))
+
+
+def _ignore(_: object) -> None:
+    """Do nothing."""
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
@@ -0,0 +1,97 @@
+"""Settings of a node in a deployment."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.retries.shares import SharedBudget
+from fuchsiagap_node.core.mesh.http_names import HeaderNames
+
+if TYPE_CHECKING:
+    from fuchsiagap.core.clock import Milliseconds
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Where a node listens, each ``IP:PORT``.
+
+    Parameters
+    ----------
+    callers : str
+        Callers and the backend server on the same host.
+    peers : str
+        Other nodes.
+    health : str
+        The platform's question whether this node is ready.
+    reports : str
+        Heartbeats of the backend server.
+    metrics : str
+        Metrics as text; empty for none.
+    """
+
+    callers: str
+    peers: str
+    health: str
+    reports: str
+    metrics: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Times that the platform promises or expects, in milliseconds.
+
+    Parameters
+    ----------
+    stop : float
+        From SIGTERM until the process is killed.
+    drain : float
+        From the acknowledgement of a leaving until the last request at the server.
+    heartbeat : float
+        Between two heartbeats of a backend server.
+    """
+
+    stop: Milliseconds = 6_000.0
+    drain: Milliseconds = 2_000.0
+    heartbeat: Milliseconds = 1_500.0
+
+
+@dataclass(frozen=True, slots=True)
+class MeshSettings:
+    """All that a process is told at its start.
+
+    Parameters
+    ----------
+    node, data_centre, service : str
+        Name, place, and the service of the backend server beside it.
+    ip : str
+        Address of the host.
+    backend : str
+        ``IP:PORT`` of the backend server.
+    addresses : Addresses
+        Where it listens.
+    store : str
+        ``IP:PORT`` of the platform's store.
+    bounds : Bounds
+        Times.
+    budget : SharedBudget
+        Repeats that all nodes together may send.
+    names : HeaderNames
+        Header names.
+    health_path : str
+        Path on which the platform asks whether the node is ready.
+    """
+
+    node: str
+    data_centre: str
+    service: str
+    ip: str
+    backend: str
+    addresses: Addresses
+    store: str
+    bounds: Bounds = Bounds()
+    budget: SharedBudget = field(
+        default_factory=lambda: SharedBudget(0.2, 48.0, 10_000.0)
+    )
+    names: HeaderNames = HeaderNames()
+    health_path: str = "/readiness"
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
@@ -0,0 +1,114 @@
+"""What the node needs of the platform's store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol, TypeAlias
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from fuchsiagap.core.clock import Milliseconds
+    from fuchsiagap.core.routes.model import RouteConfig
+    from fuchsiagap_node.core.mesh.sending import Member
+
+
+@dataclass(frozen=True, slots=True)
+class StoreFailed:
+    """The store gave no usable answer; a change may still take effect later.
+
+    Parameters
+    ----------
+    reason : str
+        What went wrong.
+    """
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The changes since the revision are no longer known; list instead."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredConfig:
+    """A configuration and its place in the order of changes.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of its object.
+    text : bytes
+        As the platform encodes it, for other nodes.
+    config : RouteConfig
+        What it says.
+    """
+
+    revision: int
+    text: bytes
+    config: RouteConfig
+
+
+@dataclass(frozen=True, slots=True)
+class Members:
+    """Nodes that have announced themselves.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store to watch from.
+    present : mapping of str to Member
+        Nodes by name.
+    gone : frozenset of str
+        Names of nodes that have withdrawn since the watched revision.
+    """
+
+    revision: int
+    present: Mapping[str, Member]
+    gone: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigNews:
+    """What a look at the configuration gave.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store to watch from.
+    stored : StoredConfig or None
+        The configuration, if there is a new one.
+    """
+
+    revision: int
+    stored: StoredConfig | None
+
+
+ConfigResult: TypeAlias = ConfigNews | HistoryGone | StoreFailed
+MembersResult: TypeAlias = Members | HistoryGone | StoreFailed
+
+
+class Store(Protocol):
+    """The platform's store, behind its own names and formats."""
+
+    async def read_config(self) -> ConfigResult:
+        """Return the configuration."""
+
+    async def watch_config(self, revision: int, wait: Milliseconds) -> ConfigResult:
+        """Wait for a change of the configuration after a revision."""
+
+    def decode_config(self, revision: int, text: bytes) -> StoredConfig | None:
+        """Return a configuration that another node sent; None if it is none."""
+
+    async def read_members(self) -> MembersResult:
+        """Return all nodes."""
+
+    async def watch_members(self, revision: int, wait: Milliseconds) -> MembersResult:
+        """Wait for nodes that come or go after a revision."""
+
+    async def announce(self, member: Member) -> StoreFailed | None:
+        """Put this node among the others."""
+
+    async def withdraw(self, node: str) -> StoreFailed | None:
+        """Take this node out."""
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -0,0 +1,206 @@
+"""A TCP connection as the path of a request needs it.
+
+Thinner than trio's own stream: a send tries the socket at once and waits only if the
+socket is full, which saves two checkpoints for each message.
+"""
+
+from __future__ import annotations
+
+import errno
+import socket
+from typing import TYPE_CHECKING, TypeAlias
+
+import trio
+
+from fuchsiagap.core.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fuchsiagap.core.clock import Milliseconds
+
+# Bytes of one read: a page of small messages, or a good part of a large body.
+READ_BYTES = 65_536
+# Connections that may wait to be accepted.
+_BACKLOG = 1_024
+# A pause before accepting again when descriptors have run out, in seconds.
+_ACCEPT_PAUSE_S = 0.05
+_OUT_OF_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
+
+
+class BrokenStream(Exception):
+    """The connection was reset, or could not be opened."""
+
+
+class Stream:
+    """One TCP connection.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        A connected socket; it becomes non-blocking.
+    """
+
+    __slots__ = ("_sock", "closed")
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = sock
+        self.closed = False
+
+    def peer(self) -> str:
+        """Return the IP address of the other end; empty if it is gone."""
+        try:
+            return str(self._sock.getpeername()[0])
+        except OSError:
+            return ""
+
+    async def receive(self) -> bytes:
+        """Wait for bytes.
+
+        Returns
+        -------
+        bytes
+            Empty when the other end has closed in order.
+
+        Raises
+        ------
+        BrokenStream
+            If the connection was reset or closed here.
+        """
+        while True:
+            try:
+                await trio.lowlevel.wait_readable(self._sock)
+                return self._sock.recv(READ_BYTES)
+            except BlockingIOError:
+                continue
+            except (OSError, trio.ClosedResourceError) as exc:
+                raise BrokenStream(str(exc)) from exc
+
+    async def send(self, data: bytes) -> None:
+        """Send all bytes; `BrokenStream` if the connection breaks."""
+        rest = self.send_some(data)
+        if not rest:
+            return
+        view = memoryview(rest)
+        while view:
+            try:
+                await trio.lowlevel.wait_writable(self._sock)
+                view = view[self._sock.send(view) :]
+            except BlockingIOError:
+                continue
+            except (OSError, trio.ClosedResourceError) as exc:
+                raise BrokenStream(str(exc)) from exc
+
+    def send_some(self, data: bytes) -> bytes:
+        """Send what the socket takes at once, and return the rest."""
+        try:
+            sent = self._sock.send(data)
+        except BlockingIOError:
+            return data
+        except OSError as exc:
+            raise BrokenStream(str(exc)) from exc
+        return data[sent:] if sent < len(data) else b""
+
+    def is_quiet(self) -> bool:
+        """Whether the connection is open and has nothing to read."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def give_up_after(self, wait: Milliseconds) -> None:
+        """Break the connection if sent bytes stay unacknowledged for `wait` ms."""
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(wait))
+
+    def close(self) -> None:
+        """Close the connection; whoever waits on it gets `BrokenStream`."""
+        if not self.closed:
+            self.closed = True
+            trio.lowlevel.notify_closing(self._sock)
+            self._sock.close()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+async def dial(address: str, wait: Milliseconds) -> Stream:
+    """Open a connection.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    wait : float
+        Milliseconds it may take.
+
+    Returns
+    -------
+    Stream
+        The connection.
+
+    Raises
+    ------
+    BrokenStream
+        If there is none in time.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    try:
+        with trio.move_on_after(wait / MS_PER_S):
+            code = sock.connect_ex(split_address(address))
+            if code == errno.EINPROGRESS:
+                await trio.lowlevel.wait_writable(sock)
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code == 0:
+                return Stream(sock)
+            raise BrokenStream(f"{address}: {errno.errorcode.get(code, code)}")
+    except OSError as exc:
+        sock.close()
+        raise BrokenStream(f"{address}: {exc}") from exc
+    except BaseException:
+        sock.close()
+        raise
+    sock.close()
+    raise BrokenStream(f"{address}: no connection within {wait:.0f} ms")
+
+
+def listen(address: str) -> socket.socket:
+    """Return a listening socket at ``IP:PORT``."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(split_address(address))
+    sock.listen(_BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+Handler: TypeAlias = "Callable[[Stream], Awaitable[None]]"
+
+
+async def accept_all(sock: socket.socket, handle: Handler, nursery: trio.Nursery) -> None:
+    """Start `handle` in the nursery for each connection that comes in."""
+    while True:
+        await trio.lowlevel.wait_readable(sock)
+        while True:
+            try:
+                conn, _ = sock.accept()
+            except BlockingIOError:
+                break
+            except OSError as exc:
+                if exc.errno in _OUT_OF_DESCRIPTORS:
+                    await trio.sleep(_ACCEPT_PAUSE_S)
+                break
+            try:
+                stream = Stream(conn)
+            except OSError:
+                conn.close()
+                continue
+            nursery.start_soon(handle, stream)
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
@@ -0,0 +1,141 @@
+"""Structured log lines and counters of one process.
+
+Lines go through a bounded buffer to standard output, which is never waited for: what
+does not fit is dropped and counted.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import traceback
+from collections import Counter, deque
+from typing import TYPE_CHECKING
+
+import trio
+
+from fuchsiagap.core.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from fuchsiagap.core.clock import Clock
+
+# Lines that wait for standard output at most: about a second of the busiest node.
+_BUFFERED_LINES = 2_000
+# Milliseconds between two writes; many lines share one system call.
+_FLUSH_MS = 200.0
+# One request in so many that was answered at the first try gets a line; the others
+# are counted only. At 1,000 requests a second that is 5 lines a second.
+SAMPLE_ANSWERED = 200
+# Upper bounds of the latency histogram in milliseconds.
+LATENCY_BOUNDS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000)
+
+
+class Teller:
+    """Writes one line for each decision and counts what happens often.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node, in each line.
+    clock : Clock
+        Clock of the process.
+    descriptor : int, default=1
+        File descriptor of the lines.
+    """
+
+    def __init__(self, node: str, clock: Clock, descriptor: int = 1) -> None:
+        self._node = node
+        self._clock = clock
+        self._descriptor = descriptor
+        self._lines: deque[bytes] = deque()
+        self._rest = b""
+        self._dropped = 0
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self._latency: dict[str, list[int]] = {}
+        self._latency_sum: Counter[str] = Counter()
+
+    def event(self, kind: str, **fields: object) -> None:
+        """Write a line.
+
+        Parameters
+        ----------
+        kind : str
+            What happened.
+        **fields : object
+            What decided it: identifiers, values, ages in milliseconds, versions.
+        """
+        self.counts["events", kind] += 1
+        if len(self._lines) >= _BUFFERED_LINES:
+            self._dropped += 1
+            self.counts["dropped_lines", ""] += 1
+            return
+        line: dict[str, object] = {
+            "t": round(self._clock.now(), 1),
+            "wall": round(self._clock.wall()),
+            "node": self._node,
+            "event": kind,
+        }
+        line.update(fields)
+        if self._dropped:
+            line["dropped_before"], self._dropped = self._dropped, 0
+        self._lines.append(json.dumps(line, default=str).encode() + b"\n")
+
+    def fault(self, where: str, exc: BaseException) -> None:
+        """Write a line for an exception that nothing else expected."""
+        trace = "".join(traceback.format_exception(exc))
+        self.event("fault", where=where, trace=trace[-1_500:])
+
+    def answered(self, route: str, outcome: str, latency: float) -> None:
+        """Count a request by route and outcome, and its latency in milliseconds."""
+        self.counts["requests", f'route="{route}",outcome="{outcome}"'] += 1
+        buckets = self._latency.get(route)
+        if buckets is None:
+            buckets = self._latency[route] = [0] * (len(LATENCY_BOUNDS) + 1)
+        index = 0
+        while index < len(LATENCY_BOUNDS) and latency > LATENCY_BOUNDS[index]:
+            index += 1
+        buckets[index] += 1
+        self._latency_sum[route] += round(latency)
+
+    def metrics(self) -> str:
+        """Return counters and histograms in the text format of Prometheus."""
+        lines = []
+        for (name, labels), value in sorted(self.counts.items()):
+            shown = labels if "=" in labels or not labels else f'kind="{labels}"'
+            lines.append(f"fuchsiagap_{name}_total{{{shown}}} {value}")
+        for route, buckets in sorted(self._latency.items()):
+            total = 0
+            for bound, count in zip((*LATENCY_BOUNDS, "+Inf"), buckets, strict=True):
+                total += count
+                lines.append(
+                    f'fuchsiagap_latency_ms_bucket{{route="{route}",le="{bound}"}} {total}'
+                )
+            lines.append(f'fuchsiagap_latency_ms_count{{route="{route}"}} {total}')
+            lines.append(
+                f'fuchsiagap_latency_ms_sum{{route="{route}"}} '
+                f"{self._latency_sum[route]}"
+            )
+        return "\n".join(lines) + "\n"
+
+    async def run(self) -> None:
+        """Write the buffered lines out until cancelled."""
+        os.set_blocking(self._descriptor, False)
+        while True:
+            await trio.sleep(_FLUSH_MS / MS_PER_S)
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what standard output takes at once."""
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = b"".join(self._lines)
+                self._lines.clear()
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return
+            except OSError:
+                self._rest = b""
+                self.counts["dropped_lines", ""] += 1
+                return
+            self._rest = self._rest[written:]
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -0,0 +1,136 @@
+"""Choice of the backend server that gets the next request of a service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Sequence
+
+# Fullness that a server of another data centre must be better by: traffic between data
+# centres is dear, an overfull data centre dearer.
+REMOTE_PENALTY = 0.35
+# Fullness that counts for each unit of the share of refused or broken requests, so that
+# a server that fails fast does not look empty and attract all.
+FAILURE_PENALTY = 3.0
+# Fullness added to a server in its warm-up, while it needs about twice as long.
+WARM_UP_PENALTY = 0.25
+
+
+@dataclass(slots=True)
+class Target:
+    """A backend server as one sending node sees it.
+
+    Parameters
+    ----------
+    node : str
+        Name of the node beside it.
+    instance : str
+        Incarnation; empty if none takes requests.
+    service : str
+        Service.
+    local : bool
+        Whether it stands in the sender's data centre.
+    usable : bool
+        Whether new requests may be sent to it.
+    limit : int
+        Places.
+    others : int
+        Requests of other senders there, as last reported.
+    mine : int
+        Requests of this sender there now.
+    failing : float
+        Share of requests that ended refused or broken, as last reported.
+    warming : bool
+        Whether it is in its warm-up.
+    below : float
+        Fullness of the fullest service that it calls, as last reported.
+    calls : bool
+        Whether its requests make calls of their own.
+    """
+
+    node: str
+    instance: str
+    service: str
+    local: bool
+    usable: bool = True
+    limit: int = 1
+    others: int = 0
+    mine: int = 0
+    failing: float = 0.0
+    warming: bool = False
+    below: float = 0.0
+    calls: bool = False
+
+    def fullness(self) -> float:
+        """Return requests per place, with the next one counted."""
+        return (self.others + self.mine + 1) / max(self.limit, 1)
+
+    def cost(self) -> float:
+        """Return what the choice compares; the least is chosen."""
+        cost = self.fullness() + FAILURE_PENALTY * self.failing
+        if not self.local:
+            cost += REMOTE_PENALTY
+        if self.warming:
+            cost += WARM_UP_PENALTY
+        return cost
+
+
+# Servers of each place (own data centre, others) that one choice compares.
+_COMPARED = 6
+
+
+def choose(
+    targets: Sequence[Target], without: Collection[str], rng: random.Random
+) -> Target | None:
+    """Return the server that the next request goes to.
+
+    Parameters
+    ----------
+    targets : sequence of Target
+        Servers of the service.
+    without : collection of str
+        Incarnations that this request has been at.
+    rng : random.Random
+        Breaks ties, and samples where there are many servers.
+
+    Returns
+    -------
+    Target or None
+        None if no server takes requests.
+    """
+    usable = [t for t in targets if t.usable and t.instance not in without]
+    if len(usable) > 2 * _COMPARED:
+        usable = _sample(usable, rng)
+    best: Target | None = None
+    best_cost = float("inf")
+    for target in usable:
+        cost = target.cost() + rng.random() * 0.02
+        if cost < best_cost:
+            best, best_cost = target, cost
+    return best
+
+
+def _sample(usable: list[Target], rng: random.Random) -> list[Target]:
+    local = [t for t in usable if t.local]
+    remote = [t for t in usable if not t.local]
+    picked: list[Target] = []
+    for group in (local, remote):
+        picked += group if len(group) <= _COMPARED else rng.sample(group, _COMPARED)
+    return picked
+
+
+def service_fullness(targets: Sequence[Target]) -> float:
+    """Return requests per place over all servers of a service.
+
+    Servers that take no requests add nothing; 0 without any server.
+    """
+    load = 0
+    places = 0
+    for target in targets:
+        if target.usable:
+            load += target.others + target.mine
+            places += target.limit
+    return load / places if places else 0.0
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
@@ -0,0 +1,76 @@
+"""The share of requests refused at the entry, by rank, from the fullness below."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fuchsiagap.core.clock import Milliseconds
+
+# Fullness (running and waiting requests per place) that the entries aim at. Above 1
+# requests wait; servers slow down from about 0.95 on.
+AIM = 0.85
+# Milliseconds in which the admitted share follows an excess of fullness by a factor
+# e. About twice the time from an admission to its effect at the deepest service.
+REACTION_MS = 1_200.0
+# Largest excess that one step takes in: a long queue says that the share is too
+# large, not by how much.
+MAX_EXCESS = 0.7
+# The least share of a rank that is let in before the next better one is refused too,
+# so that no kind of request is shut out altogether.
+LEAST_SHARE = 0.3
+# The share below which nothing is cut further.
+FLOOR = 0.05
+
+
+class RefusalLevel:
+    """Admitted share of each rank for the requests of one service.
+
+    The state is one number: the share of all load that may come in, on a logarithmic
+    scale. The worst rank is cut first, down to `LEAST_SHARE`, then the next one.
+
+    Attributes
+    ----------
+    cut : float
+        How far the admitted share is cut, as a natural logarithm; 0 admits all.
+    """
+
+    def __init__(self) -> None:
+        self.cut = 0.0
+
+    def step(self, fullness: float, elapsed: Milliseconds) -> None:
+        """Follow the fullness of the service and of those below it.
+
+        Parameters
+        ----------
+        fullness : float
+            Requests per place, the larger of own and below.
+        elapsed : float
+            Milliseconds since the last step.
+        """
+        excess = math.log(max(fullness, 0.3) / AIM)
+        excess = min(excess, MAX_EXCESS)
+        self.cut = max(0.0, self.cut + excess * elapsed / REACTION_MS)
+        self.cut = min(self.cut, self._deepest())
+
+    @staticmethod
+    def _deepest() -> float:
+        return 3.0 * -math.log(LEAST_SHARE)
+
+    def admitted(self, steps_from_worst: int) -> float:
+        """Return the admitted share of a rank.
+
+        Parameters
+        ----------
+        steps_from_worst : int
+            0 for the worst rank in use, 1 for the next better one, and so on.
+
+        Returns
+        -------
+        float
+            Between `FLOOR` and 1.
+        """
+        depth = -math.log(LEAST_SHARE)
+        mine = min(max(self.cut - steps_from_worst * depth, 0.0), depth)
+        return max(math.exp(-mine), FLOOR)
