Tell a backend server's calls from callers' requests by the request that runs

Ruled out: header differences (none), routes (none marked). Change: a call is a request named after one that runs at the door now; it takes over the rank of its root. What is passed up loses 3 % a service. A repeat's calls are charged to the budget. Linter and types cover the new packages.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-PACKAGES := $(wildcard packages/*/pyproject.toml)
+PACKAGES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 
 .PHONY: setup demo test check-model lint format clean
 setup: $(STAMP)
@@ -21,14 +21,14 @@
 	@$(PY) -m fuchsiagap_standins.model --bound large
 
 lint: $(STAMP)
-	@$(PY) -m ruff format --check packages tools
-	@$(PY) -m ruff check packages tools
+	@$(PY) -m ruff format --check packages platform tools
+	@$(PY) -m ruff check packages platform tools
 	@$(PY) -m mypy
 	@$(VENV)/bin/lint-imports
 
 format: $(STAMP)
-	@$(PY) -m ruff format packages tools
-	@$(PY) -m ruff check --fix packages tools
+	@$(PY) -m ruff format packages platform tools
+	@$(PY) -m ruff check --fix packages platform tools
 
 clean:
 	rm -rf $(VENV) .setup.lock
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/below.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/below.py
@@ -10,6 +10,9 @@
 
 # Milliseconds after its last call for which a service counts as called.
 _CALLED_MS = 10_000.0
+# What is left of a fullness one service further up. Services may call each other in a
+# circle, and without a loss on the way round a fullness in it would never fall.
+_PASSED_ON = 0.97
 # Milliseconds for which a computed fullness is good: many answers carry it.
 _FRESH_MS = 50.0
 
@@ -48,5 +51,6 @@
             self._called = {
                 s: at for s, at in self._called.items() if now - at < _CALLED_MS
             }
-            self._fullness = max(map(self._peers.fullness, self._called), default=0.0)
+            fullest = max(map(self._peers.fullness, self._called), default=0.0)
+            self._fullness = _PASSED_ON * fullest
         return self._fullness
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -13,8 +13,6 @@
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from fuchsiagap.core.clock import Clock
     from fuchsiagap_node.core.mesh.entry import Entry
     from fuchsiagap_node.core.mesh.http_request import Request
@@ -77,8 +75,6 @@
         Whether connections are closed after their next answer.
     in_progress : int
         Requests without their whole answer.
-    on_call : callable
-        Told of each request that the backend server on this host makes.
     """
 
     def __init__(
@@ -92,7 +88,6 @@
         self.closing = False
         self.in_progress = 0
         self._open: dict[_Connection, None] = {}
-        self.is_call: Callable[[Stream], bool] = _never
 
     async def serve(self, stream: Stream) -> None:
         """Serve one connection until it ends."""
@@ -116,10 +111,10 @@
         """Return a reader under the limits in force."""
         return RequestReader(self._cfg.names, self.limits)
 
-    async def answer(self, req: Request, is_call: bool) -> Final:
+    async def answer(self, req: Request) -> Final:
         """Return the final answer to a request, whatever happens."""
         try:
-            return await self._entry.answer(req, is_call)
+            return await self._entry.answer(req)
         except Exception as exc:
             self._tell.fault("entry", exc)
             return Final(502)
@@ -137,7 +132,6 @@
         self._last_done = trio.Event()
         self._last_done.set()
         self._ended = False
-        self._is_call = edge.is_call(stream)
 
     def is_idle(self) -> bool:
         return self._in_progress == 0 and not self._reader.midway
@@ -205,7 +199,7 @@
     ) -> None:
         """Answer one request after those before it."""
         try:
-            final = await self._edge.answer(req, self._is_call)
+            final = await self._edge.answer(req)
             await before.wait()
             last = self._in_progress == 1 and not self._reader.midway
             close = not req.keep_alive or (self._edge.closing and last)
@@ -232,8 +226,3 @@
         except BrokenStream:
             return
         self.stream.close()
-
-
-def _never(_: Stream) -> bool:
-    """Return that no request is the backend server's."""
-    return False
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -109,6 +109,7 @@
         self._queue: DoorQueue[Job] = DoorQueue(1)
         self._incarnation = Incarnation()
         self._idle: list[_Idle] = []
+        self._running: dict[str, Call] = {}
         self._nursery: trio.Nursery | None = None
         self._failing = 0.0
         self._failing_at = clock.now()
@@ -134,6 +135,15 @@
         """Requests at the backend server."""
         return self._queue.running
 
+    def parent_of(self, request_id: str) -> Call | None:
+        """Return the request that the backend server makes a call for.
+
+        A backend server names its calls after the request that it runs: the
+        identifier of that request, a dot, and more. What is not named after a request
+        that runs here now is no call.
+        """
+        return self._running.get(request_id.rpartition(".")[0])
+
     def failing(self) -> float:
         """Return the share of recent requests that ended refused or broken."""
         now = self._clock.now()
@@ -220,15 +230,15 @@
         if self._queue.has_place():
             self._start(job)
             return
-        if self._queue.is_full() and not self._make_room(call.rank):
+        if self._queue.is_full() and not self._make_room(_order(call)):
             self._tell.event("queue-full", request=call.request_id, load=self.load)
             job.reply(NotRun(QUEUE_FULL))
             return
         now = self._clock.now()
-        job.waiting = self._queue.push(job, call.rank, job.deadline, now)
+        job.waiting = self._queue.push(job, _order(call), job.deadline, now)
 
-    def _make_room(self, rank: int) -> bool:
-        worst = self._queue.pop_worst(rank)
+    def _make_room(self, order: int) -> bool:
+        worst = self._queue.pop_worst(order)
         if worst is None:
             return False
         worst.job.reply(NotRun(QUEUE_FULL))
@@ -293,12 +303,15 @@
             return NotRun(CANCELLED)
         with trio.CancelScope() as scope:
             job.scope = scope
+            self._running[job.call.request_id] = job.call
             try:
                 outcome = await conn.exchange(job.call, job.deadline)
             except Exception as exc:
                 self._tell.fault("backend-connection", exc)
                 conn.close()
                 outcome = MayHaveRun(f"fault of the node: {type(exc).__name__}")
+            finally:
+                self._running.pop(job.call.request_id, None)
         if scope.cancelled_caught:
             conn.close()
             return MayHaveRun(CANCELLED)
@@ -323,5 +336,10 @@
         self._failing += (float(failed) - self._failing) * _FAILURE_WEIGHT
 
 
+def _order(call: Call) -> int:
+    """Return the place in the queue: within a rank, work begun goes first."""
+    return 2 * call.rank + (0 if call.is_call else 1)
+
+
 def _nothing() -> None:
     """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -34,9 +34,6 @@
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.telling import Teller
 
-# Rank of requests that a backend server makes while it runs another: work is already
-# spent on them, so they go before new requests of every rank.
-CALL_RANK = -1
 # Milliseconds past the caller's deadline for which an answer that is on its way is
 # still awaited.
 _LAST_WORD_MS = 120.0
@@ -125,6 +122,8 @@
         Routes in force; None until a configuration is known.
     on_call : callable
         Told the service that the backend server on this host calls.
+    parent_of : callable
+        Returns the request for which the backend server on this host makes a call.
     """
 
     def __init__(
@@ -149,16 +148,15 @@
         self._caller_line = b"%s: %s\r\n" % (cfg.names.caller, cfg.service.encode())
         self.table: RouteTable | None = None
         self.on_call: Callable[[str], None] = _ignore
+        self.parent_of: Callable[[str], Call | None] = _no_parent
 
-    async def answer(self, req: Request, is_call: bool) -> Final:
+    async def answer(self, req: Request) -> Final:
         """Return the final answer to a request.
 
         Parameters
         ----------
         req : Request
             The request.
-        is_call : bool
-            Whether the backend server on this host made it.
 
         Returns
         -------
@@ -175,14 +173,15 @@
             self._tell.event("no-route", request=req.request_id, host=req.host)
             return Final(404)
         service = self._rotation.pick(route)
-        if is_call:
+        parent = self.parent_of(req.request_id)
+        if parent is not None:
             self.on_call(service)
         share = self._admission.admitted_share(service, route, table.lowest_rank)
-        if not is_call and not self._admission.admits(share):
+        if parent is None and not self._admission.admits(share):
             self._tell.answered(route.name, "refused", 0.0)
             self._tell.counts["refused_at_entry", f"rank-{route.priority}"] += 1
             return Final(503, retry_after=self._admission.retry_after(share))
-        final = await self._place(req, route, service, is_call, started)
+        final = await self._place(req, route, service, parent, started)
         took = self._clock.now() - started
         self._tell.answered(route.name, str(final.status), took)
         return final
@@ -192,7 +191,7 @@
         req: Request,
         route: Route,
         service: str,
-        is_call: bool,
+        parent: Call | None,
         started: Milliseconds,
     ) -> Final:
         """Hand the request to one backend server after the other."""
@@ -200,12 +199,15 @@
         deadline = started + wait
         budget = self._budget(service)
         budget.earn()
+        if parent is not None and parent.repeated:
+            budget.charge()
         so_far = _Attempts(tried=[])
         while True:
             peer = await self._pick(service, so_far, route, started, deadline)
             if peer is None:
                 break
-            call = self._call(req, route, peer, is_call, deadline)
+            call = self._call(req, route, peer, parent, deadline)
+            call = replace(call, repeated=True) if so_far.arrivals else call
             so_far.placements += 1
             so_far.last = outcome = await self._send(peer, call, deadline)
             if isinstance(outcome, Answered) and not self._wants_repeat(outcome, route):
@@ -247,7 +249,7 @@
         req: Request,
         route: Route,
         peer: Peer,
-        is_call: bool,
+        parent: Call | None,
         deadline: Milliseconds,
     ) -> Call:
         instance = peer.target.instance
@@ -265,7 +267,9 @@
             head,
             req.body,
             round(deadline - self._clock.now(), 1),
-            CALL_RANK if is_call else route.priority,
+            route.priority if parent is None else parent.rank,
+            parent is not None,
+            parent is not None and parent.repeated,
             route.idempotent,
             req.request_id,
         )
@@ -368,5 +372,9 @@
         return budget
 
 
+def _no_parent(_: str) -> None:
+    """Return that a request is no call."""
+
+
 def _ignore(_: object) -> None:
     """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import TypeAlias, cast
 
 import cbor2
 
@@ -89,7 +89,11 @@
     left : float
         Milliseconds until the sender gives its caller a final answer.
     rank : int
-        Order in the queue; the least goes first.
+        Priority of the request at the root of the tree that this one belongs to.
+    is_call : bool
+        Whether a backend server makes it while it runs another request.
+    repeated : bool
+        Whether it, or a request above it, was handed to a backend server before.
     idempotent : bool
         Whether it may be cancelled and repeated.
     request_id : str
@@ -102,6 +106,8 @@
     body: bytes
     left: float
     rank: int
+    is_call: bool
+    repeated: bool
     idempotent: bool
     request_id: str
 
@@ -183,6 +189,8 @@
                 m.body,
                 m.left,
                 m.rank,
+                m.is_call,
+                m.repeated,
                 m.idempotent,
                 m.request_id,
             ]
@@ -239,7 +247,7 @@
     if kind >= _ANSWERED:
         call_id, load, below, *outcome = rest
         return Reply(call_id, _OUTCOMES[kind](*outcome), load, below)  # type: ignore[arg-type]
-    return _KINDS[kind](*rest)
+    return cast("Message", _KINDS[kind](*rest))
 
 
 _KINDS = {
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
@@ -171,7 +171,9 @@
             self._fail(BadRequest(400, "the target has to begin with a slash"))
         lines = self._lines
         if self._dropped:
-            lines = [x for x in lines if x.split(b":", 1)[0].lower() not in self._dropped]
+            lines = [
+                x for x in lines if x.split(b":", 1)[0].lower() not in self._dropped
+            ]
         body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
         if self._has_length:
             lines.append(b"Content-Length: %d\r\n" % len(body))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -90,7 +90,7 @@
         )
         self.entry.on_call = self._called.note
         self._callers = CallerEdge(cfg, self.entry, clock, tell)
-        self._callers.is_call = self._is_backend
+        self.entry.parent_of = self.door.parent_of
         self._config = ConfigSync(store, clock, tell, self._adopt)
         own = Member(
             cfg.node,
@@ -110,10 +110,6 @@
         self._taking.below = self._called.fullness
         self.door.changed = self._tell_status
 
-    def _is_backend(self, stream: object) -> bool:
-        """Whether a connection comes from the backend server on this host."""
-        return getattr(stream, "peer", str)() == self.cfg.ip
-
     def _prepare_link(self, link: SendingLink) -> None:
         link.on_status = self._config.peer_has
         link.on_config = lambda text: self._config.take_text(text, link.member.node)
@@ -159,7 +155,10 @@
                 (at.peers, self._taking.serve),
             ):
                 nursery.start_soon(accept_all, listen(address), serve, nursery)
-            sides = [(at.health, self._answer_health), (at.reports, self._answer_report)]
+            sides = [
+                (at.health, self._answer_health),
+                (at.reports, self._answer_report),
+            ]
             if at.metrics:
                 sides.append((at.metrics, self._answer_metrics))
             for address, handle in sides:
@@ -200,7 +199,9 @@
         self.door.take_report(report)
         return Final(200, headers=b"Content-Type: application/json\r\n", body=b"{}")
 
-    def _answer_metrics(self, _: Request) -> Final:
+    def _answer_metrics(self, req: Request) -> Final:
+        if req.method != b"GET":
+            return Final(404)
         kind = b"Content-Type: text/plain; version=0.0.4\r\n"
         return Final(200, headers=kind, body=self.tell.metrics().encode())
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -138,9 +138,7 @@
                     stream = await dial(self.member.address, _DIAL_MS)
                     await self._serve(stream)
                 except (BrokenStream, BadFrame) as exc:
-                    self._tell.event(
-                        "link-failed", to=self.member.node, cause=str(exc)
-                    )
+                    self._tell.event("link-failed", to=self.member.node, cause=str(exc))
                 if self._clock.now() - started > _REDIAL_MAX_MS:
                     wait = _REDIAL_MS
                 await trio.sleep(wait / MS_PER_S)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
@@ -93,5 +93,5 @@
     budget: SharedBudget = field(
         default_factory=lambda: SharedBudget(0.2, 48.0, 10_000.0)
     )
-    names: HeaderNames = HeaderNames()
+    names: HeaderNames = field(default_factory=HeaderNames)
     health_path: str = "/readiness"
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/side_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/side_http.py
@@ -9,13 +9,13 @@
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.routes.model import CallerLimits
 from fuchsiagap_node.core.mesh.callers import answer_bytes
-from fuchsiagap_node.core.mesh.entry import Final
 from fuchsiagap_node.core.mesh.http_request import BadRequest, RequestReader
 from fuchsiagap_node.core.mesh.stream import BrokenStream, accept_all, listen
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fuchsiagap_node.core.mesh.entry import Final
     from fuchsiagap_node.core.mesh.http_names import HeaderNames
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.stream import Stream
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -49,13 +49,6 @@
         self._sock = sock
         self.closed = False
 
-    def peer(self) -> str:
-        """Return the IP address of the other end; empty if it is gone."""
-        try:
-            return str(self._sock.getpeername()[0])
-        except OSError:
-            return ""
-
     async def receive(self) -> bytes:
         """Wait for bytes.
 
@@ -185,7 +178,9 @@
 Handler: TypeAlias = "Callable[[Stream], Awaitable[None]]"
 
 
-async def accept_all(sock: socket.socket, handle: Handler, nursery: trio.Nursery) -> None:
+async def accept_all(
+    sock: socket.socket, handle: Handler, nursery: trio.Nursery
+) -> None:
     """Start `handle` in the nursery for each connection that comes in."""
     while True:
         await trio.lowlevel.wait_readable(sock)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
@@ -107,14 +107,12 @@
             total = 0
             for bound, count in zip((*LATENCY_BOUNDS, "+Inf"), buckets, strict=True):
                 total += count
-                lines.append(
-                    f'fuchsiagap_latency_ms_bucket{{route="{route}",le="{bound}"}} {total}'
-                )
-            lines.append(f'fuchsiagap_latency_ms_count{{route="{route}"}} {total}')
-            lines.append(
-                f'fuchsiagap_latency_ms_sum{{route="{route}"}} '
-                f"{self._latency_sum[route]}"
-            )
+                labels = f'route="{route}",le="{bound}"'
+                lines.append(f"fuchsiagap_latency_ms_bucket{{{labels}}} {total}")
+            labels = f'route="{route}"'
+            lines.append(f"fuchsiagap_latency_ms_count{{{labels}}} {total}")
+            spent = self._latency_sum[route]
+            lines.append(f"fuchsiagap_latency_ms_sum{{{labels}}} {spent}")
         return "\n".join(lines) + "\n"
 
     async def run(self) -> None:
--- a/packages/fuchsiagap/src/fuchsiagap/core/retries/shares.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/retries/shares.py
@@ -1,4 +1,4 @@
-"""This node's share of a retry budget that all nodes keep together."""
+"""One node's share of a retry budget that all nodes keep together."""
 
 from __future__ import annotations
 
@@ -63,6 +63,11 @@
         self._part()[1] += 1.0
         self._requests += 1.0
 
+    def charge(self) -> None:
+        """Count a repeat that a repeat above this request has caused."""
+        self._part()[2] += 1.0
+        self._repeats += 1.0
+
     def spend(self, nodes: int, with_calls: bool) -> bool:
         """Pay for a repeat.
 
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -6,7 +6,7 @@
 stamp=$2
 if [ -f "$stamp" ] && [ "$stamp" -nt constraints.txt ] \
     && [ "$stamp" -nt requirements-dev.txt ] \
-    && [ -z "$(find packages -maxdepth 2 -name pyproject.toml -newer "$stamp")" ]; then
+    && [ -z "$(find packages platform -maxdepth 2 -name pyproject.toml -newer "$stamp")" ]; then
     exit 0
 fi
 [ -x "$venv/bin/python" ] || python3 -m venv "$venv"
