--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import trio
@@ -113,11 +114,9 @@
 
     async def _send_and_read(self, stream: Stream, call: Call, data: bytes) -> Outcome:
         try:
-            try:
+            # After a broken send an early refusal may still stand in the buffer.
+            with contextlib.suppress(BrokenStream):
                 await stream.send(data)
-            except BrokenStream:
-                # An early refusal may still stand in the receive buffer.
-                pass
             return self._outcome(await self._read(stream, call))
         except (BrokenStream, BadAnswer) as exc:
             self.close()
