--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -21,6 +21,15 @@
 _RETRY_AFTER_MS = (300.0, 1_500.0)
 
 
+# Share of the longest wait of a route below which a request has been here before: its
+# caller has spent the rest on an earlier attempt.
+_CAME_BACK = 0.97
+# How much faster the share of those that came back falls than that of new ones. Whoever
+# was refused once is refused again while load is shed: each let in would be paid for by
+# a new request, that would then be served late, or not at all.
+_CAME_BACK_FALL = 3.0
+
+
 class Admission:
     """Refusal levels of the services that requests of this node go to.
 
@@ -45,6 +54,16 @@
         self._tell = teller
         self._levels: dict[str, RefusalLevel] = {}
         self._stepped_at = clock.now()
+        self._longest: dict[str, Milliseconds] = {}
+
+    def came_back(self, route: Route, wait: Milliseconds | None) -> bool:
+        """Whether a request's remaining time tells of an earlier attempt."""
+        if wait is None:
+            return False
+        longest = self._longest.get(route.name, 0.0)
+        if wait >= longest:
+            self._longest[route.name] = wait
+        return wait < _CAME_BACK * longest
 
     def step(self) -> None:
         """Let each level follow the fullness of its service."""
@@ -71,9 +90,21 @@
             return 1.0
         return level.admitted(max(lowest_rank - route.priority, 0))
 
-    def admits(self, share: float) -> bool:
-        """Draw whether one request is let in."""
-        return share >= 1.0 or self._rng.random() < share
+    def admits(self, share: float, came_back: bool) -> bool:
+        """Draw whether one request is let in.
+
+        Parameters
+        ----------
+        share : float
+            Admitted share of its rank.
+        came_back : bool
+            Whether its caller has tried before.
+        """
+        if share >= 1.0:
+            return True
+        if came_back:
+            share = 1.0 - _CAME_BACK_FALL * (1.0 - share)
+        return self._rng.random() < share
 
     def retry_after(self, share: float) -> Milliseconds:
         """Return when a refused caller may come back."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -35,6 +35,8 @@
 
 # Weight of one request in the running share of failures: about the last 30 count.
 _FAILURE_WEIGHT = 0.03
+# Weight of one request in the mean time at the server: about the last 50 count.
+_SERVICE_WEIGHT = 0.02
 # Milliseconds in which the share of failures of an unused server fades to 1/e, so that
 # it is tried again.
 _FAILURE_FADE_MS = 4_000.0
@@ -303,6 +305,7 @@
             return NotRun(CANCELLED)
         with trio.CancelScope() as scope:
             job.scope = scope
+            started = self._clock.now()
             self._running[job.call.request_id] = job.call
             try:
                 outcome = await conn.exchange(job.call, job.deadline)
@@ -315,12 +318,15 @@
         if scope.cancelled_caught:
             conn.close()
             return MayHaveRun(CANCELLED)
-        self._note(outcome, conn)
+        self._note(outcome, conn, self._clock.now() - started)
         return outcome
 
-    def _note(self, outcome: Outcome, conn: BackendConn) -> None:
+    def _note(self, outcome: Outcome, conn: BackendConn, took: Milliseconds) -> None:
         """Learn from an outcome how well the server does."""
         now = self._clock.now()
+        queue = self._queue
+        weight = _SERVICE_WEIGHT if queue.service_ms else 1.0
+        queue.service_ms += (took - queue.service_ms) * weight
         match outcome:
             case Answered(status):
                 self._answered_at = now
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -177,7 +177,8 @@
         if parent is not None:
             self.on_call(service)
         share = self._admission.admitted_share(service, route, table.lowest_rank)
-        if parent is None and not self._admission.admits(share):
+        came_back = parent is None and self._admission.came_back(route, req.wait)
+        if parent is None and not self._admission.admits(share, came_back):
             self._tell.answered(route.name, "refused", 0.0)
             self._tell.counts["refused_at_entry", f"rank-{route.priority}"] += 1
             return Final(503, retry_after=self._admission.retry_after(share))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -29,7 +29,7 @@
 from fuchsiagap_node.core.mesh.telling import Teller
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from fuchsiagap.core.clock import Clock
     from fuchsiagap.core.door.incarnation import BackendReport
@@ -44,6 +44,8 @@
 _KNOWN_AS_READY_MS = 2_500.0
 # Milliseconds before the end of the time to stop at which the process ends by itself.
 _STOP_MARGIN_MS = 700.0
+# Milliseconds before work in the background that failed starts again.
+_RESTART_MS = 500.0
 # Objects between two collections of the youngest generation: the path makes few cycles,
 # and at the default of 700 collections took several in a hundred of the time.
 _GC_YOUNG = 20_000
@@ -164,13 +166,22 @@
             for address, handle in sides:
                 nursery.start_soon(serve_side, address, handle, names, self.tell)
             for work in (self._config.run, self._members.run):
-                nursery.start_soon(work)
+                nursery.start_soon(self._go_on, work)
             await self._wait_for_stop()
             await self._stop()
             nursery.cancel_scope.cancel()
         self.tell.event("stopped")
         self.tell.flush()
 
+    async def _go_on(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Start work again that ends by an exception nobody expected."""
+        while True:
+            try:
+                await work()
+            except Exception as exc:
+                self.tell.fault("background", exc)
+            await trio.sleep(_RESTART_MS / MS_PER_S)
+
     async def _step(self) -> None:
         """Step the admission levels and send the door's status when it changes."""
         since = 0.0
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -139,6 +139,8 @@
                     await self._serve(stream)
                 except (BrokenStream, BadFrame) as exc:
                     self._tell.event("link-failed", to=self.member.node, cause=str(exc))
+                except Exception as exc:
+                    self._tell.fault("sending-link", exc)
                 if self._clock.now() - started > _REDIAL_MAX_MS:
                     wait = _REDIAL_MS
                 await trio.sleep(wait / MS_PER_S)
--- a/packages/fuchsiagap/src/fuchsiagap/core/door/queue.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/door/queue.py
@@ -13,9 +13,11 @@
 
 Job = TypeVar("Job")
 
-# Requests that may wait, per place. One place's worth is about one service time of
-# waiting; two keep places busy through the swings of the load, more only adds waiting.
+# Requests that may wait, per place, where the service time is not known.
 QUEUE_PER_SLOT = 2.0
+# Milliseconds of work that may wait: the levels of the entries need some hundred
+# milliseconds to follow a surge, and a call turned away wastes the tree above it.
+QUEUE_MS = 300.0
 # Fewest requests that may wait, for servers with few places.
 LEAST_QUEUE = 16
 
@@ -38,11 +40,19 @@
     ----------
     limit : int
         Places.
+
+    Attributes
+    ----------
+    running : int
+        Places in use.
+    service_ms : float
+        Mean time that a request holds a place; 0 if not known.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.running = 0
+        self.service_ms = 0.0
         self._ranks: dict[int, deque[Waiting[Job]]] = {}
         self._waiting = 0
 
@@ -62,7 +72,10 @@
 
     def is_full(self) -> bool:
         """Whether no more requests may wait."""
-        return self._waiting >= max(LEAST_QUEUE, self.limit * QUEUE_PER_SLOT)
+        per_slot = QUEUE_PER_SLOT
+        if self.service_ms > 0.0:
+            per_slot = max(per_slot, QUEUE_MS / self.service_ms)
+        return self._waiting >= max(LEAST_QUEUE, self.limit * per_slot)
 
     def push(
         self, job: Job, rank: int, deadline: Milliseconds, now: Milliseconds
--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -15,6 +15,9 @@
 # Fullness that counts for each unit of the share of refused or broken requests, so that
 # a server that fails fast does not look empty and attract all.
 FAILURE_PENALTY = 3.0
+# Fullness that a service has if all its requests fail: above the aim, so that the
+# entries refuse trees that would come to nothing.
+FAILING_LOAD = 1.5
 # Fullness added to a server in its warm-up, while it needs about twice as long.
 WARM_UP_PENALTY = 0.25
 
@@ -125,12 +128,15 @@
 def service_fullness(targets: Sequence[Target]) -> float:
     """Return requests per place over all servers of a service.
 
-    Servers that take no requests add nothing; 0 without any server.
+    Servers that take no requests add nothing; 0 without any server. The share of
+    requests that fail counts too: places that hand out failures do no work.
     """
     load = 0
     places = 0
+    failing = 0.0
     for target in targets:
         if target.usable:
             load += target.others + target.mine
             places += target.limit
-    return load / places if places else 0.0
+            failing += target.failing * target.limit
+    return (load + FAILING_LOAD * failing) / places if places else 0.0
