Follow fullness for each route, so that only what leads to a full service is refused

Ruled out: rank order (priority 0 of cycle-log was right in the log). Change: replies carry the fullness below the route they belong to; levels are kept for each service and route; failures of a service count for its callers only.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -11,7 +11,7 @@
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.routes.model import Route
-    from fuchsiagap_node.core.mesh.peers import Peers
+    from fuchsiagap_node.core.mesh.pressures import Pressures
     from fuchsiagap_node.core.mesh.telling import Teller
 
 # Milliseconds between two steps of the levels: a few within one reaction time.
@@ -31,12 +31,12 @@
 
 
 class Admission:
-    """Refusal levels of the services that requests of this node go to.
+    """Refusal levels of the routes of requests that begin at this node.
 
     Parameters
     ----------
-    peers : Peers
-        Doors and their fullness.
+    pressures : Pressures
+        Fullness of the services that a route leads to.
     clock : Clock
         Time in milliseconds.
     rng : random.Random
@@ -46,13 +46,13 @@
     """
 
     def __init__(
-        self, peers: Peers, clock: Clock, rng: random.Random, teller: Teller
+        self, pressures: Pressures, clock: Clock, rng: random.Random, teller: Teller
     ) -> None:
-        self._peers = peers
+        self._pressures = pressures
         self._clock = clock
         self._rng = rng
         self._tell = teller
-        self._levels: dict[str, RefusalLevel] = {}
+        self._levels: dict[tuple[str, str], RefusalLevel] = {}
         self._stepped_at = clock.now()
         self._longest: dict[str, Milliseconds] = {}
 
@@ -69,23 +69,24 @@
         """Let each level follow the fullness of its service."""
         now = self._clock.now()
         elapsed, self._stepped_at = now - self._stepped_at, now
-        for service, level in self._levels.items():
+        for (service, route), level in self._levels.items():
             was_open = level.cut == 0.0
-            fullness = self._peers.fullness(service)
+            fullness = self._pressures.of(service, route)
             level.step(fullness, min(elapsed, 5 * STEP_MS))
             if was_open != (level.cut == 0.0):
                 self._tell.event(
                     "admission-changed",
                     service=service,
+                    route=route,
                     fullness=round(fullness, 2),
                     refusing=was_open,
                 )
 
     def admitted_share(self, service: str, route: Route, lowest_rank: int) -> float:
         """Return the share of a route's requests that is let in now."""
-        level = self._levels.get(service)
+        level = self._levels.get((service, route.name))
         if level is None:
-            level = self._levels[service] = RefusalLevel()
+            level = self._levels[service, route.name] = RefusalLevel()
         if level.cut == 0.0:
             return 1.0
         return level.admitted(max(lowest_rank - route.priority, 0))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -20,6 +20,7 @@
     NotRun,
     Outcome,
 )
+from fuchsiagap_node.core.mesh.pressures import NO_CALLS
 
 if TYPE_CHECKING:
     import random
@@ -31,6 +32,7 @@
     from fuchsiagap_node.core.mesh.admission import Admission
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.peers import Peer, Peers
+    from fuchsiagap_node.core.mesh.pressures import Pressures
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.telling import Teller
 
@@ -85,14 +87,16 @@
 class _Reply:
     """The place where a link leaves the outcome of a call."""
 
-    __slots__ = ("event", "outcome")
+    __slots__ = ("below", "event", "outcome")
 
     def __init__(self) -> None:
         self.event = trio.Event()
         self.outcome: Outcome | None = None
+        self.below = NO_CALLS
 
-    def take(self, outcome: Outcome) -> None:
+    def take(self, outcome: Outcome, below: float) -> None:
         self.outcome = outcome
+        self.below = below
         self.event.set()
 
 
@@ -105,6 +109,8 @@
         Settings.
     peers : Peers
         Doors of the backend servers.
+    pressures : Pressures
+        Fullness of the services that a route leads to.
     admission : Admission
         What is refused at once.
     rotation : ShareRotation
@@ -120,8 +126,6 @@
     ----------
     table : RouteTable or None
         Routes in force; None until a configuration is known.
-    on_call : callable
-        Told the service that the backend server on this host calls.
     parent_of : callable
         Returns the request for which the backend server on this host makes a call.
     """
@@ -130,6 +134,7 @@
         self,
         cfg: MeshSettings,
         peers: Peers,
+        pressures: Pressures,
         admission: Admission,
         rotation: ShareRotation,
         clock: Clock,
@@ -138,6 +143,7 @@
     ) -> None:
         self._cfg = cfg
         self._peers = peers
+        self._pressures = pressures
         self._admission = admission
         self._rotation = rotation
         self._clock = clock
@@ -147,7 +153,6 @@
         self._ids = count(1)
         self._caller_line = b"%s: %s\r\n" % (cfg.names.caller, cfg.service.encode())
         self.table: RouteTable | None = None
-        self.on_call: Callable[[str], None] = _ignore
         self.parent_of: Callable[[str], Call | None] = _no_parent
 
     async def answer(self, req: Request) -> Final:
@@ -175,18 +180,35 @@
         service = self._rotation.pick(route)
         parent = self.parent_of(req.request_id)
         if parent is not None:
-            self.on_call(service)
-        share = self._admission.admitted_share(service, route, table.lowest_rank)
-        came_back = parent is None and self._admission.came_back(route, req.wait)
-        if parent is None and not self._admission.admits(share, came_back):
-            self._tell.answered(route.name, "refused", 0.0)
-            self._tell.counts["refused_at_entry", f"rank-{route.priority}"] += 1
-            return Final(503, retry_after=self._admission.retry_after(share))
+            self._pressures.note_call(parent.route, service, route.name)
+        else:
+            refusal = self._refusal(req, route, service, table.lowest_rank)
+            if refusal is not None:
+                return refusal
         final = await self._place(req, route, service, parent, started)
         took = self._clock.now() - started
         self._tell.answered(route.name, str(final.status), took)
         return final
 
+    def _refusal(
+        self, req: Request, route: Route, service: str, lowest_rank: int
+    ) -> Final | None:
+        """Return the refusal of a new request for which there is no room."""
+        share = self._admission.admitted_share(service, route, lowest_rank)
+        came_back = self._admission.came_back(route, req.wait)
+        if self._admission.admits(share, came_back):
+            return None
+        self._tell.answered(route.name, "refused", 0.0)
+        self._tell.counts["refused_at_entry", f"rank-{route.priority}"] += 1
+        self._tell.event(
+            "refused",
+            request=req.request_id,
+            route=route.name,
+            share=round(share, 2),
+            came_back=came_back,
+        )
+        return Final(503, retry_after=self._admission.retry_after(share))
+
     async def _place(
         self,
         req: Request,
@@ -217,7 +239,7 @@
             if not self._may_repeat(outcome, route, so_far, deadline):
                 break
             if self._is_arrival(outcome) and not budget.spend(
-                self._peers.count(), peer.target.calls
+                self._peers.count(), self._pressures.makes_calls(service, route.name)
             ):
                 self._tell.event("no-retry-budget", request=req.request_id)
                 break
@@ -273,22 +295,26 @@
             parent is not None and parent.repeated,
             route.idempotent,
             req.request_id,
+            route.name,
         )
 
     async def _send(self, peer: Peer, call: Call, deadline: Milliseconds) -> Outcome:
         """Send a call and wait for its outcome until the deadline."""
         reply = _Reply()
         peer.send(call, reply.take)
-        if reply.outcome is not None:
-            return reply.outcome
         wait = deadline + _LAST_WORD_MS - self._clock.now()
         try:
-            with trio.move_on_after(max(wait, 0.0) / MS_PER_S):
-                await reply.event.wait()
+            if reply.outcome is None:
+                with trio.move_on_after(max(wait, 0.0) / MS_PER_S):
+                    await reply.event.wait()
         finally:
             if reply.outcome is None:
                 peer.cancel(call.call_id)
-        return MayHaveRun(EXPIRED) if reply.outcome is None else reply.outcome
+        if reply.outcome is None:
+            return MayHaveRun(EXPIRED)
+        if isinstance(reply.outcome, Answered):
+            self._pressures.note_reply(peer.target.service, call.route, reply.below)
+        return reply.outcome
 
     @staticmethod
     def _wants_repeat(outcome: Answered, route: Route) -> bool:
@@ -375,7 +401,3 @@
 
 def _no_parent(_: str) -> None:
     """Return that a request is no call."""
-
-
-def _ignore(_: object) -> None:
-    """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -54,10 +54,6 @@
         Share of recent requests that ended refused or broken.
     warming : bool
         Whether the server is in its warm-up.
-    below : float
-        Fullness of the fullest service that the server calls.
-    calls : bool
-        Whether its requests make calls of their own.
     revision : int
         Revision of the configuration that this node has adopted.
     """
@@ -67,8 +63,6 @@
     load: int
     failing: float
     warming: bool
-    below: float
-    calls: bool
     revision: int
 
 
@@ -98,6 +92,8 @@
         Whether it may be cancelled and repeated.
     request_id : str
         Identifier of the caller's attempt.
+    route : str
+        Name of its route.
     """
 
     call_id: int
@@ -110,11 +106,24 @@
     repeated: bool
     idempotent: bool
     request_id: str
+    route: str
 
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """What became of a call, with the load of the door."""
+    """What became of a call, with the load of the door.
+
+    Parameters
+    ----------
+    call_id : int
+        Number of the call.
+    outcome : Answered, NotRun or MayHaveRun
+        What became of it.
+    load : int
+        Requests that run or wait at the door.
+    below : float
+        Fullness of the services that requests of its route lead to from there.
+    """
 
     call_id: int
     outcome: Outcome
@@ -193,6 +202,7 @@
                 m.repeated,
                 m.idempotent,
                 m.request_id,
+                m.route,
             ]
         case Reply(call_id, outcome, load, below):
             return _reply_fields(call_id, outcome, load, below)
@@ -204,8 +214,6 @@
                 m.load,
                 m.failing,
                 m.warming,
-                m.below,
-                m.calls,
                 m.revision,
             ]
         case Cancel(call_id):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -13,7 +13,6 @@
 from fuchsiagap.core.clock import MS_PER_S, trio_clock
 from fuchsiagap.core.routes.table import RouteTable, ShareRotation
 from fuchsiagap_node.core.mesh.admission import STEP_MS, Admission
-from fuchsiagap_node.core.mesh.below import CalledServices
 from fuchsiagap_node.core.mesh.callers import CallerEdge
 from fuchsiagap_node.core.mesh.config_sync import ConfigSync
 from fuchsiagap_node.core.mesh.door import Door
@@ -22,6 +21,7 @@
 from fuchsiagap_node.core.mesh.member_sync import MemberSync
 from fuchsiagap_node.core.mesh.own_door import OwnDoor
 from fuchsiagap_node.core.mesh.peers import Peers
+from fuchsiagap_node.core.mesh.pressures import Pressures
 from fuchsiagap_node.core.mesh.sending import Member, SendingLink
 from fuchsiagap_node.core.mesh.side_http import serve_side
 from fuchsiagap_node.core.mesh.stream import accept_all, listen
@@ -82,15 +82,22 @@
         self.tell = tell = Teller(cfg.node, clock)
         self.door = Door(cfg, clock, tell)
         self._peers = Peers(cfg.data_centre)
-        self._own = OwnDoor(cfg.node, cfg.service, self.door, clock)
+        self._pressures = Pressures(self._peers, clock)
+        below = self._pressures.below
+        self._own = OwnDoor(cfg.node, cfg.service, self.door, clock, below)
         self._peers.put(self._own)
-        self._called = CalledServices(self._peers, clock)
-        self._admission = Admission(self._peers, clock, rng, tell)
+        self._admission = Admission(self._pressures, clock, rng, tell)
         self._rotation = ShareRotation()
         self.entry = Entry(
-            cfg, self._peers, self._admission, self._rotation, clock, rng, tell
+            cfg,
+            self._peers,
+            self._pressures,
+            self._admission,
+            self._rotation,
+            clock,
+            rng,
+            tell,
         )
-        self.entry.on_call = self._called.note
         self._callers = CallerEdge(cfg, self.entry, clock, tell)
         self.entry.parent_of = self.door.parent_of
         self._config = ConfigSync(store, clock, tell, self._adopt)
@@ -109,7 +116,7 @@
         self._taking = TakingLinks(hello, self.door, self._status, clock, tell)
         self._taking.on_hello = self._members.take_hello
         self._taking.config_text = self._config.text
-        self._taking.below = self._called.fullness
+        self._taking.below = below
         self.door.changed = self._tell_status
 
     def _prepare_link(self, link: SendingLink) -> None:
@@ -130,8 +137,6 @@
             self.door.load,
             round(self.door.failing(), 1),
             self.door.is_warming(),
-            round(self._called.fullness(), 1),
-            self._called.any(),
             self._config.revision,
         )
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_door.py
@@ -14,6 +14,7 @@
     from fuchsiagap_node.core.mesh.door import Door
     from fuchsiagap_node.core.mesh.frames import Call, Status
     from fuchsiagap_node.core.mesh.outcome import Outcome
+    from fuchsiagap_node.core.mesh.peers import OnReply
 
 
 class OwnDoor:
@@ -27,6 +28,8 @@
         The door.
     clock : Clock
         Time in milliseconds.
+    below : callable
+        Returns the fullness of the services below a route.
 
     Attributes
     ----------
@@ -34,19 +37,27 @@
         The backend server, as seen from its own door.
     """
 
-    def __init__(self, node: str, service: str, door: Door, clock: Clock) -> None:
+    def __init__(
+        self,
+        node: str,
+        service: str,
+        door: Door,
+        clock: Clock,
+        below: Callable[[str], float],
+    ) -> None:
         self.target = Target(node, "", service, local=True, usable=False)
         self._door = door
         self._clock = clock
+        self._below = below
         self._jobs: dict[int, Job] = {}
 
-    def send(self, call: Call, reply: Callable[[Outcome], None]) -> None:
+    def send(self, call: Call, reply: OnReply) -> None:
         """Send a call; `reply` is told its outcome, once."""
 
         def done(outcome: Outcome) -> None:
             if self._jobs.pop(call.call_id, None) is not None:
                 self.target.others = self._door.load
-                reply(outcome)
+                reply(outcome, self._below(call.route))
 
         job = Job(call, self._clock.now() + call.left, done)
         self._jobs[call.call_id] = job
@@ -68,5 +79,3 @@
         target.others = status.load
         target.failing = status.failing
         target.warming = status.warming
-        target.below = status.below
-        target.calls = status.calls
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
@@ -4,21 +4,24 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from fuchsiagap.core.placement.choice import Target, service_fullness
-
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
+    from typing import TypeAlias
 
+    from fuchsiagap.core.placement.choice import Target
     from fuchsiagap_node.core.mesh.frames import Call
     from fuchsiagap_node.core.mesh.outcome import Outcome
 
+    # Told the outcome of a call and the fullness below its route, once.
+    OnReply: TypeAlias = Callable[[Outcome, float], None]
+
 
 class Peer(Protocol):
     """A door, as a sender sees it."""
 
     target: Target
 
-    def send(self, call: Call, reply: Callable[[Outcome], None]) -> None:
+    def send(self, call: Call, reply: OnReply) -> None:
         """Send a call; `reply` is told its outcome, once."""
 
     def cancel(self, call_id: int) -> None:
@@ -38,7 +41,6 @@
         self.data_centre = data_centre
         self._by_node: dict[str, Peer] = {}
         self._by_service: dict[str, dict[str, Peer]] = {}
-        self._called: dict[str, float] = {}
 
     def put(self, peer: Peer) -> None:
         """Add a door, or replace the one of the same node."""
@@ -64,12 +66,3 @@
         """Return the backend servers of a service."""
         doors = self._by_service.get(service)
         return [peer.target for peer in doors.values()] if doors else []
-
-    def fullness(self, service: str) -> float:
-        """Return the fullness of a service or, if greater, of those that it calls."""
-        targets = self.targets(service)
-        usable = [target for target in targets if target.usable]
-        if not usable:
-            return 0.0
-        below = sum(target.below for target in usable) / len(usable)
-        return max(service_fullness(targets), below)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -19,6 +19,7 @@
 )
 from fuchsiagap_node.core.mesh.link import FramedLink
 from fuchsiagap_node.core.mesh.outcome import LINK_LOST, MayHaveRun, NotRun
+from fuchsiagap_node.core.mesh.pressures import NO_CALLS
 from fuchsiagap_node.core.mesh.stream import BrokenStream, dial
 
 if TYPE_CHECKING:
@@ -26,7 +27,7 @@
 
     from fuchsiagap.core.clock import Clock
     from fuchsiagap_node.core.mesh.frames import Call, Message
-    from fuchsiagap_node.core.mesh.outcome import Outcome
+    from fuchsiagap_node.core.mesh.peers import OnReply
     from fuchsiagap_node.core.mesh.stream import Stream
     from fuchsiagap_node.core.mesh.telling import Teller
 
@@ -100,17 +101,17 @@
         self._clock = clock
         self._tell = teller
         self._link: FramedLink | None = None
-        self._pending: dict[int, Callable[[Outcome], None]] = {}
+        self._pending: dict[int, OnReply] = {}
         self.target = Target(member.node, "", member.service, local, usable=False)
         self.revision = 0
         self.on_config: Callable[[ConfigText], None] = _ignore
         self.on_status: Callable[[SendingLink], None] = _ignore
         self.scope = trio.CancelScope()
 
-    def send(self, call: Call, reply: Callable[[Outcome], None]) -> None:
+    def send(self, call: Call, reply: OnReply) -> None:
         """Send a call; `reply` is told its outcome, once."""
         if self._link is None:
-            reply(NotRun(LINK_LOST))
+            reply(NotRun(LINK_LOST), NO_CALLS)
             return
         self.target.mine += 1
         self._pending[call.call_id] = reply
@@ -207,13 +208,12 @@
 
     def _take_reply(self, reply: Reply) -> None:
         self.target.others = max(reply.load - self.target.mine, 0)
-        self.target.below = reply.below
         on_outcome = self._pending.pop(reply.call_id, None)
         if on_outcome is None:
             self._tell.counts["late_replies", ""] += 1
             return
         self.target.mine -= 1
-        on_outcome(reply.outcome)
+        on_outcome(reply.outcome, reply.below)
 
     def _take_status(self, status: Status) -> None:
         target = self.target
@@ -223,8 +223,6 @@
         target.others = max(status.load - target.mine, 0)
         target.failing = status.failing
         target.warming = status.warming
-        target.below = status.below
-        target.calls = status.calls
         self.revision = status.revision
         self.on_status(self)
 
@@ -237,7 +235,8 @@
         pending, self._pending = self._pending, {}
         self.target.mine = 0
         for call_id, reply in pending.items():
-            reply(NotRun(LINK_LOST) if call_id in unsent else MayHaveRun(LINK_LOST))
+            lost = NotRun(LINK_LOST) if call_id in unsent else MayHaveRun(LINK_LOST)
+            reply(lost, NO_CALLS)
 
 
 def _ignore(_: object) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
@@ -20,6 +20,7 @@
     Status,
 )
 from fuchsiagap_node.core.mesh.link import FramedLink
+from fuchsiagap_node.core.mesh.pressures import NO_CALLS
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
@@ -54,6 +55,8 @@
         Told of each node that opens a link.
     config_text : callable
         Returns the adopted configuration, or None.
+    below : callable
+        Returns the fullness of the services below a route.
     """
 
     def __init__(
@@ -73,7 +76,7 @@
         self._last: Status | None = None
         self.on_hello: Callable[[Hello], None] = _ignore
         self.config_text: Callable[[], ConfigText | None] = _no_config
-        self.below: Callable[[], float] = _empty
+        self.below: Callable[[str], float] = _no_calls
 
     async def serve(self, stream: Stream) -> None:
         """Serve one link until it ends."""
@@ -126,7 +129,7 @@
     def _take(self, link: FramedLink, jobs: dict[int, Job], call: Call) -> None:
         def reply(outcome: Outcome) -> None:
             if jobs.pop(call.call_id, None) is not None:
-                below = round(self.below(), 2)
+                below = self.below(call.route)
                 link.post(Reply(call.call_id, outcome, self._door.load, below))
 
         job = Job(call, self._clock.now() + call.left, reply)
@@ -151,6 +154,6 @@
     """Return no configuration."""
 
 
-def _empty() -> float:
-    """Return the fullness of nothing."""
-    return 0.0
+def _no_calls(_: str) -> float:
+    """Return that no requests make calls."""
+    return NO_CALLS
--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -48,10 +48,6 @@
         Share of requests that ended refused or broken, as last reported.
     warming : bool
         Whether it is in its warm-up.
-    below : float
-        Fullness of the fullest service that it calls, as last reported.
-    calls : bool
-        Whether its requests make calls of their own.
     """
 
     node: str
@@ -64,8 +60,6 @@
     mine: int = 0
     failing: float = 0.0
     warming: bool = False
-    below: float = 0.0
-    calls: bool = False
 
     def fullness(self) -> float:
         """Return requests per place, with the next one counted."""
@@ -128,15 +122,27 @@
 def service_fullness(targets: Sequence[Target]) -> float:
     """Return requests per place over all servers of a service.
 
-    Servers that take no requests add nothing; 0 without any server. The share of
-    requests that fail counts too: places that hand out failures do no work.
+    Servers that take no requests add nothing; 0 without any server.
     """
     load = 0
     places = 0
-    failing = 0.0
     for target in targets:
         if target.usable:
             load += target.others + target.mine
             places += target.limit
+    return load / places if places else 0.0
+
+
+def service_failing(targets: Sequence[Target]) -> float:
+    """Return the fullness that the failures of a service count as for its callers.
+
+    Places that hand out failures do no work, and a request that makes several calls
+    needs each of them.
+    """
+    places = 0
+    failing = 0.0
+    for target in targets:
+        if target.usable:
             failing += target.failing * target.limit
-    return (load + FAILING_LOAD * failing) / places if places else 0.0
+            places += target.limit
+    return FAILING_LOAD * failing / places if places else 0.0
--- a/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
@@ -13,13 +13,13 @@
 AIM = 0.85
 # Milliseconds in which the admitted share follows an excess of fullness by a factor
 # e. About twice the time from an admission to its effect at the deepest service.
-REACTION_MS = 1_200.0
+REACTION_MS = 900.0
 # Largest excess that one step takes in: a long queue says that the share is too
 # large, not by how much.
 MAX_EXCESS = 0.7
 # The least share of a rank that is let in before the next better one is refused too,
 # so that no kind of request is shut out altogether.
-LEAST_SHARE = 0.3
+LEAST_SHARE = 0.2
 # The share below which nothing is cut further.
 FLOOR = 0.05
 
