--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -26,11 +27,20 @@
     from fuchsiagap_node.core.mesh.stream import Stream
 
 
+# Ports of listeners, below those that the system gives to outgoing connections.
+_PORTS = itertools.cycle(range(21_000, 31_000))
+
+
 def free_address() -> str:
     """Return an unused ``127.0.0.1:PORT``."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    for port in _PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
+    raise AssertionError("the ports are endless")
 
 
 def a_route(name: str, service: str = "certs", **changes: object) -> Route:
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
@@ -105,11 +105,11 @@
             return HistoryGone()
         with trio.move_on_after(wait / MS_PER_S):
             while True:
-                await state.news.wait()
                 if self.down:
                     return StoreFailed("down")
                 if state.config is not None and state.config.revision > revision:
                     return ConfigNews(state.revision, state.config)
+                await state.news.wait()
         return ConfigNews(max(revision, 1), None)
 
     def decode_config(self, revision: int, text: bytes) -> StoredConfig | None:
@@ -131,12 +131,12 @@
         state = self._state
         with trio.move_on_after(wait / MS_PER_S):
             while True:
-                await state.news.wait()
                 names = {name for at, name in state.changed if at > revision}
                 if names:
                     present = {n: state.members[n] for n in names & set(state.members)}
                     gone = frozenset(names - set(state.members))
                     return Members(state.revision, present, gone)
+                await state.news.wait()
         return Members(revision, {})
 
     async def announce(self, member: Member) -> StoreFailed | None:
