--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -39,6 +39,8 @@
 
 # Milliseconds between two looks at whether the door's status is worth sending.
 _STATUS_MS = 250.0
+# Steps of a server's load, from empty to full, that a status tells apart.
+_STATUS_STEPS = 4
 # Milliseconds after SIGTERM for which callers still send here: the platform asks once a
 # second and takes a node out after two misses.
 _KNOWN_AS_READY_MS = 2_500.0
@@ -56,6 +58,16 @@
 _GC_YOUNG = 20_000
 
 
+def _coarse(load: int, limit: int) -> int:
+    """Return a load in steps, so that small changes send no status.
+
+    Replies carry the exact load; a status is for senders that had none of late. At
+    one status each look, statuses were a quarter of the bytes between data centres.
+    """
+    step = max(limit // _STATUS_STEPS, 1)
+    return load // step * step
+
+
 class Node:
     """A node of a deployment.
 
@@ -139,7 +151,7 @@
         return Status(
             self.door.instance(),
             self.door.limit,
-            self.door.load,
+            _coarse(self.door.load, self.door.limit),
             round(self.door.failing(), 1),
             self.door.is_warming(),
             self._config.revision,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -36,12 +36,15 @@
 # Milliseconds between two attempts to reach a node, doubled up to the second figure.
 _REDIAL_MS = 150.0
 _REDIAL_MAX_MS = 1_000.0
-# Milliseconds of silence after which a ping is sent.
+# Milliseconds of silence after which a ping is sent: while calls wait, and else.
 _PING_MS = 400.0
-# Milliseconds of silence after which nothing new is sent to the node.
+_IDLE_PING_MS = 1_200.0
+# Milliseconds of silence after which nothing new is sent to the node; beyond two pings.
 _SUSPECT_MS = 1_000.0
+_IDLE_SUSPECT_MS = 2_000.0
 # Milliseconds of silence after which the link is closed and its calls are given back.
 _LOST_MS = 2_200.0
+_IDLE_LOST_MS = 3_400.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,13 +178,17 @@
         while True:
             await trio.sleep(_PING_MS / MS_PER_S)
             silent = self._clock.now() - link.heard_at
-            if silent >= _LOST_MS:
+            busy = bool(self._pending)
+            if silent >= (_LOST_MS if busy else _IDLE_LOST_MS):
                 self._tell.event("link-silent", to=self.member.node, silent=silent)
                 nursery.cancel_scope.cancel()
-            elif silent >= _SUSPECT_MS and self.target.usable:
+            elif (
+                silent >= (_SUSPECT_MS if busy else _IDLE_SUSPECT_MS)
+                and self.target.usable
+            ):
                 self.target.usable = False
                 self._tell.event("node-suspected", node=self.member.node, silent=silent)
-            if silent >= _PING_MS * 0.9:
+            if silent >= (_PING_MS if busy else _IDLE_PING_MS) * 0.9:
                 link.post(Ping())
 
     async def _receive(self, link: FramedLink) -> None:
