--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	@$(PY) -m ruff check packages platform tools
 	@$(PY) -m mypy
 	@$(VENV)/bin/lint-imports
+	@$(PY) tools/check_names.py
 
 format: $(STAMP)
 	@$(PY) -m ruff format packages platform tools
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
@@ -0,0 +1,68 @@
+import random
+
+from testtools import TestCase
+
+from fuchsiagap.core.placement.choice import (
+    Target,
+    choose,
+    service_failing,
+    service_fullness,
+)
+
+
+def a_target(name, local=True, **changes):
+    """Return a backend server of ten places."""
+    target = Target(name, f"i-{name}", "certs", local, limit=10)
+    for field, value in changes.items():
+        setattr(target, field, value)
+    return target
+
+
+def picks(*targets, n=50, without=()):
+    """Return the servers that are chosen, by name."""
+    rng = random.Random(1)
+    return {choose(targets, without, rng).node for _ in range(n)}
+
+
+class TestChoose(TestCase):
+    def test_own_data_centre_goes_first(self):
+        self.assertEqual(
+            {"near"}, picks(a_target("near", others=2), a_target("far", local=False))
+        )
+
+    def test_full_data_centre_spills(self):
+        near = a_target("near", others=14)
+        self.assertEqual({"far"}, picks(near, a_target("far", local=False)))
+
+    def test_server_that_fails_fast_does_not_attract(self):
+        self.assertEqual(
+            {"sound"},
+            picks(a_target("fails", failing=0.5), a_target("sound", others=9)),
+        )
+
+    def test_unusable_and_tried_servers_are_left_out(self):
+        targets = (a_target("down", usable=False), a_target("tried"), a_target("new"))
+        self.assertEqual({"new"}, picks(*targets, without=("i-tried",)))
+        rng = random.Random(1)
+        self.assertIsNone(choose(targets[:1], (), rng))
+
+    def test_many_servers_are_sampled_and_still_the_emptier_is_chosen(self):
+        full = [a_target(f"full-{n}", others=30) for n in range(40)]
+        empty = [a_target(f"empty-{n}") for n in range(40)]
+        rng = random.Random(1)
+        chosen = [choose([*full, *empty], (), rng).node for _ in range(1_000)]
+        emptier = [name for name in chosen if name.startswith("empty")]
+        # Six of eighty are compared; all six are full in 1.3 of 100 draws.
+        self.assertGreater(len(emptier), 970)
+        self.assertEqual(40, len(set(emptier)))
+
+
+class TestService(TestCase):
+    def test_fullness_counts_usable_servers_only(self):
+        targets = (a_target("a", others=5, mine=5), a_target("b", usable=False))
+        self.assertEqual(1.0, service_fullness(targets))
+        self.assertEqual(0.0, service_fullness(()))
+
+    def test_failures_count_by_places(self):
+        targets = (a_target("a", failing=1.0), a_target("b"))
+        self.assertAlmostEqual(0.75, service_failing(targets))
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/pressure/test_level.py
@@ -0,0 +1,49 @@
+from testtools import TestCase
+
+from fuchsiagap.core.pressure.level import AIM, FLOOR, LEAST_SHARE, RefusalLevel
+
+STEP_MS = 100.0
+
+
+def after(fullness, seconds, level=None):
+    """Return a level that has seen a fullness for some seconds."""
+    level = level or RefusalLevel()
+    for _ in range(int(seconds * 1_000.0 / STEP_MS)):
+        level.step(fullness, STEP_MS)
+    return level
+
+
+class TestRefusalLevel(TestCase):
+    def test_calm_service_refuses_nothing(self):
+        level = after(AIM * 0.9, 10.0)
+        self.assertEqual(1.0, level.admitted(0))
+
+    def test_worst_rank_is_cut_before_the_next(self):
+        level = after(AIM * 1.5, 1.0)
+        self.assertLess(level.admitted(0), 0.8)
+        self.assertEqual(1.0, level.admitted(1))
+
+    def test_better_rank_is_cut_only_once_the_worse_is_at_its_least(self):
+        level = RefusalLevel()
+        while level.admitted(1) == 1.0:
+            level.step(AIM * 2.0, STEP_MS)
+        self.assertAlmostEqual(LEAST_SHARE, level.admitted(0))
+
+    def test_order_of_ranks_holds_at_every_depth(self):
+        level = RefusalLevel()
+        for _ in range(200):
+            level.step(AIM * 3.0, STEP_MS)
+            shares = [level.admitted(n) for n in range(4)]
+            self.assertEqual(sorted(shares), shares)
+            self.assertGreaterEqual(shares[0], FLOOR)
+
+    def test_refusal_ends_within_seconds_of_the_surge(self):
+        level = after(AIM * 3.0, 60.0)
+        after(AIM * 0.3, 15.0, level)
+        self.assertEqual(1.0, level.admitted(0))
+
+    def test_return_is_slower_than_refusal(self):
+        level = after(AIM * 1.5, 2.0)
+        cut = level.cut
+        after(AIM / 1.5, 2.0, level)
+        self.assertGreater(level.cut, cut / 2.0)
--- /dev/null
+++ b/tools/check_names.py
@@ -0,0 +1,36 @@
+"""Fail where a name of the users' platform stands outside its own folder."""
+
+from __future__ import annotations
+
+import re
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+# Names that only the platform's pages use; its plain words (name, route, zone) are not
+# listed, since they are words of any program.
+NAMES = re.compile(
+    r"heartbeatUrl|weightedServices|pathPrefix|maxAttempts|targetLatency|warmupLeft"
+    r"|Target-Instance|Server-Signature|Caller-Service|Server-Load|Not-Executed"
+    r"|Instance-Id|Deadline-Ms|appAddr|listenAddrs|currentRev|waitMs"
+    r"|/v1/(objects|instances|readiness)|FUCHSIAGAP_NODE_FILE"
+)
+
+
+def main() -> int:
+    faults = 0
+    for path in sorted(ROOT.glob("packages/**/*.py")):
+        for number, line in enumerate(path.read_text("utf-8").splitlines(), 1):
+            if found := NAMES.search(line):
+                print(
+                    f"{path.relative_to(ROOT)}:{number}: {found[0]} is the platform's"
+                )
+                faults += 1
+    if (ROOT / "platform" / "__init__.py").exists():
+        print("platform/__init__.py would hide the standard module of that name")
+        faults += 1
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -8,7 +8,7 @@
 import unittest
 from pathlib import Path
 
-PACKAGES = Path(__file__).resolve().parent.parent / "packages"
+ROOT = Path(__file__).resolve().parent.parent
 SLOW_S = 2.0
 
 
@@ -38,7 +38,8 @@
     loader = unittest.TestLoader()
     loader.testNamePatterns = [f"*{p}*" for p in patterns] or None
     suite = unittest.TestSuite()
-    for folder in sorted(PACKAGES.glob("*/src/*/tests")):
+    folders = [*ROOT.glob("packages/*/src/*/tests"), *ROOT.glob("platform/src/*/tests")]
+    for folder in sorted(folders):
         root = folder.parent.parent
         suite.addTests(loader.discover(str(folder), top_level_dir=str(root)))
     runner = unittest.TextTestRunner(resultclass=_Result, verbosity=1)
