--- a/packages/fuchsiagap/src/fuchsiagap/core/retries/shares.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/retries/shares.py
@@ -13,9 +13,9 @@
 _PARTS = 20
 # Share of the ratio that a node uses: what other nodes cannot know of each other's
 # windows, and repeats that never reach a server but count, stay within the rest.
-_USED = 0.5
+_USED = 0.75
 # Share of the slack that all nodes together use.
-_SLACK_USED = 0.5
+_SLACK_USED = 0.6
 # Where a request makes calls of its own, its repeat repeats those too, over up to
 # three services below; the share is cut so that the sum stays within each budget.
 _WITH_CALLS = 0.25
