--- a/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
@@ -24,15 +24,24 @@
 # The least share of a rank that is let in before the next better one is refused too,
 # so that no kind of request is shut out altogether.
 LEAST_SHARE = 0.2
+# The same for the worst rank, in a surge: what it gives up is worth least.
+SURGE_SHARE = 0.08
+# Milliseconds over which the admitted share of the worst rank is averaged, and the mean
+# below which it is no longer cut to `SURGE_SHARE`: a surge that stays is no surge.
+_MEAN_MS = 20_000.0
+_LEAST_MEAN = 0.25
 # The share below which nothing is cut further.
 FLOOR = 0.05
+_DEPTH = -math.log(LEAST_SHARE)
+_SURGE_DEPTH = -math.log(SURGE_SHARE)
 
 
 class RefusalLevel:
     """Admitted share of each rank for the requests of one service.
 
     The state is one number: the share of all load that may come in, on a logarithmic
-    scale. The worst rank is cut first, down to `LEAST_SHARE`, then the next one.
+    scale. The worst rank is cut first, down to `SURGE_SHARE` or, when the surge
+    stays, to `LEAST_SHARE`; then the next one.
 
     Attributes
     ----------
@@ -42,6 +51,7 @@
 
     def __init__(self) -> None:
         self.cut = 0.0
+        self._mean = 1.0
 
     def step(self, fullness: float, elapsed: Milliseconds) -> None:
         """Follow the fullness of the service and of those below it.
@@ -57,11 +67,13 @@
         excess = min(excess, MAX_EXCESS)
         reaction = REACTION_MS if excess > 0.0 else RETURN_MS
         self.cut = max(0.0, self.cut + excess * elapsed / reaction)
-        self.cut = min(self.cut, self._deepest())
+        self.cut = min(self.cut, self._worst_depth() + 2.0 * _DEPTH)
+        weight = 1.0 - math.exp(-elapsed / _MEAN_MS)
+        self._mean += (self.admitted(0) - self._mean) * weight
 
-    @staticmethod
-    def _deepest() -> float:
-        return 3.0 * -math.log(LEAST_SHARE)
+    def _worst_depth(self) -> float:
+        """Return how deep the worst rank is cut before the next one."""
+        return _SURGE_DEPTH if self._mean > _LEAST_MEAN else _DEPTH
 
     def admitted(self, steps_from_worst: int) -> float:
         """Return the admitted share of a rank.
@@ -76,6 +88,10 @@
         float
             Between `FLOOR` and 1.
         """
-        depth = -math.log(LEAST_SHARE)
-        mine = min(max(self.cut - steps_from_worst * depth, 0.0), depth)
+        depth = self._worst_depth()
+        above = 0.0
+        if steps_from_worst:
+            above = depth + (steps_from_worst - 1) * _DEPTH
+            depth = _DEPTH
+        mine = min(max(self.cut - above, 0.0), depth)
         return max(math.exp(-mine), FLOOR)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/pressure/test_level.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/pressure/test_level.py
@@ -1,6 +1,12 @@
 from testtools import TestCase
 
-from fuchsiagap.core.pressure.level import AIM, FLOOR, LEAST_SHARE, RefusalLevel
+from fuchsiagap.core.pressure.level import (
+    AIM,
+    FLOOR,
+    LEAST_SHARE,
+    SURGE_SHARE,
+    RefusalLevel,
+)
 
 STEP_MS = 100.0
 
@@ -27,7 +33,15 @@
         level = RefusalLevel()
         while level.admitted(1) == 1.0:
             level.step(AIM * 2.0, STEP_MS)
-        self.assertAlmostEqual(LEAST_SHARE, level.admitted(0))
+        self.assertAlmostEqual(SURGE_SHARE, level.admitted(0))
+
+    def test_surge_that_stays_leaves_the_worst_rank_its_share(self):
+        level = RefusalLevel()
+        admitted = []
+        for _ in range(1_200):
+            level.step(AIM * 3.0, STEP_MS)
+            admitted.append(level.admitted(0))
+        self.assertGreater(sum(admitted[600:]) / 600, 0.8 * LEAST_SHARE)
 
     def test_order_of_ranks_holds_at_every_depth(self):
         level = RefusalLevel()
