--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -8,7 +8,7 @@
 
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.routes.model import CallerLimits
-from fuchsiagap_node.core.mesh.entry import Final
+from fuchsiagap_node.core.mesh.final import Final
 from fuchsiagap_node.core.mesh.http_request import BadRequest, RequestReader
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -17,11 +17,13 @@
 from fuchsiagap_node.core.mesh.callers import CallerEdge
 from fuchsiagap_node.core.mesh.config_sync import ConfigSync
 from fuchsiagap_node.core.mesh.door import Door
-from fuchsiagap_node.core.mesh.entry import Entry, Final
+from fuchsiagap_node.core.mesh.entry import Entry
+from fuchsiagap_node.core.mesh.final import Final
 from fuchsiagap_node.core.mesh.frames import Hello, Status
 from fuchsiagap_node.core.mesh.member_sync import MemberSync
 from fuchsiagap_node.core.mesh.own_door import OwnDoor
 from fuchsiagap_node.core.mesh.peers import Peers
+from fuchsiagap_node.core.mesh.placing import Placing
 from fuchsiagap_node.core.mesh.pressures import Pressures
 from fuchsiagap_node.core.mesh.sending import Member, SendingLink
 from fuchsiagap_node.core.mesh.side_http import serve_side
@@ -106,21 +108,20 @@
         self._reload = reload
         self.tell = tell = Teller(cfg.node, clock)
         self.door = Door(cfg, clock, tell)
-        self._peers = Peers(cfg.data_centre)
+        self._peers = Peers()
         self._pressures = Pressures(self._peers, clock)
         below = self._pressures.below
         self._own = OwnDoor(cfg.node, cfg.service, self.door, clock, below)
         self._peers.put(self._own)
         self._admission = Admission(self._pressures, clock, rng, tell)
         self._rotation = ShareRotation()
+        self._placing = Placing(cfg, self._peers, self._pressures, clock, rng, tell)
         self.entry = Entry(
-            cfg,
-            self._peers,
+            self._placing,
             self._pressures,
             self._admission,
             self._rotation,
             clock,
-            rng,
             tell,
         )
         self._callers = CallerEdge(cfg, self.entry, clock, tell)
@@ -191,7 +192,12 @@
         async with trio.open_nursery() as nursery:
             self._config.nursery = nursery
             self._members.nursery = nursery
-            for work in (self.door.run, self.entry.run, self._callers.run, self._step):
+            for work in (
+                self.door.run,
+                self._placing.run,
+                self._callers.run,
+                self._step,
+            ):
                 nursery.start_soon(work)
             at = cfg.addresses
             for address, serve in (
@@ -293,7 +299,7 @@
         self.tell.event("settings-changed", changed=changed, adopted=adopted)
         self.cfg = replace(self.cfg, bounds=found.bounds, budget=found.budget)
         self.door.adopt(self.cfg)
-        self.entry.adopt(self.cfg)
+        self._placing.adopt(self.cfg)
 
     async def stop(self) -> None:
         """Refuse what is new at the door, finish what is in progress, and end."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
@@ -29,16 +29,9 @@
 
 
 class Peers:
-    """Doors by service.
+    """Doors by service."""
 
-    Parameters
-    ----------
-    data_centre : str
-        This node's data centre.
-    """
-
-    def __init__(self, data_centre: str) -> None:
-        self.data_centre = data_centre
+    def __init__(self) -> None:
         self._by_node: dict[str, Peer] = {}
         self._by_service: dict[str, dict[str, Peer]] = {}
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/side_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/side_http.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from fuchsiagap_node.core.mesh.entry import Final
+    from fuchsiagap_node.core.mesh.final import Final
     from fuchsiagap_node.core.mesh.http_names import HeaderNames
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.stream import Stream
