Explain a request from the collected lines of all nodes

Cause: the way from a failed request's identifier to its cause was by hand. Change: fuchsiagap explain REQUEST FILE gathers the request's lines, those of its calls and the changes of state around them, and names the likely cause. Tested on lines that real nodes wrote while a link was lost, an answer broke off, a server refused.

--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/commands/table.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/commands/table.py
@@ -6,6 +6,7 @@
 from fuchsiagap_ctl.commands.check import check
 from fuchsiagap_ctl.commands.command import Command
 from fuchsiagap_ctl.commands.drain import drain
+from fuchsiagap_ctl.commands.explain import explain
 from fuchsiagap_ctl.commands.settings import diff, get, history
 from fuchsiagap_ctl.commands.status import status
 from fuchsiagap_ctl.commands.ticket import home, settle
@@ -95,6 +96,14 @@
         ("call", "root", "since", "format", "out", *_CHOICE_FLAGS),
         timeline,
     ),
+    Command(
+        "explain",
+        ("REQUEST", "FILE"),
+        "Write what became of a request, from collected log lines; offline.",
+        (),
+        explain,
+        offline=True,
+    ),
     Command(
         "top",
         (),
--- /dev/null
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/story.py
@@ -0,0 +1,141 @@
+"""The way of one request over the nodes, and the likely cause of its end."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from fuchsiagap_ctl.explain.lines import Line
+
+# Milliseconds before and after a request's own lines in which changes of state are
+# looked at: the longest time until a silent link is given up, and some.
+_AROUND_MS = 4_000.0
+# Changes of state that may decide what becomes of a request.
+_STATE_EVENTS = frozenset(
+    {
+        "admission-changed",
+        "backend-changed",
+        "backend-unreachable",
+        "config-adopted",
+        "ending",
+        "fault",
+        "link-down",
+        "link-failed",
+        "link-silent",
+        "node-gone",
+        "node-suspected",
+        "started",
+        "stopping",
+        "store-lost",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Story:
+    """What the lines tell of a request.
+
+    Parameters
+    ----------
+    own : tuple of Line
+        Lines of the request.
+    calls : tuple of Line
+        Lines of the calls made for it.
+    around : tuple of Line
+        Changes of state at the same time on the nodes concerned.
+    cause : str
+        The likely cause, for people.
+    """
+
+    own: tuple[Line, ...]
+    calls: tuple[Line, ...]
+    around: tuple[Line, ...]
+    cause: str
+
+
+def tell(lines: Sequence[Line], request: str) -> Story | None:
+    """Return what the lines tell of a request; None if none names it."""
+    own = [line for line in lines if line.request == request]
+    calls = [line for line in lines if line.request.startswith(f"{request}.")]
+    if not own and not calls:
+        return None
+    around = _around(lines, own + calls)
+    return Story(
+        _sorted(own), _sorted(calls), _sorted(around), _cause(own, calls, around)
+    )
+
+
+def _sorted(lines: Sequence[Line]) -> tuple[Line, ...]:
+    return tuple(sorted(lines, key=lambda line: (line.wall, line.at)))
+
+
+def _around(lines: Sequence[Line], told: Sequence[Line]) -> list[Line]:
+    nodes = {line.node for line in told}
+    first = min(line.wall for line in told) - _AROUND_MS
+    last = max(line.wall for line in told) + _AROUND_MS
+    return [
+        line
+        for line in lines
+        if line.node in nodes
+        and line.event in _STATE_EVENTS
+        and first <= line.wall <= last
+    ]
+
+
+def _cause(own: list[Line], calls: list[Line], around: list[Line]) -> str:
+    for line in own:
+        if line.event == "refused":
+            return _refused(line, around)
+    given_up = [line for line in own if line.event == "given-up"]
+    if given_up:
+        return _given_up(given_up[-1], calls, around)
+    failed = [line for line in calls if line.event == "given-up"]
+    if failed:
+        return f"a call made for it ended without an answer: {failed[-1].text()}"
+    repeats = [line for line in own + calls if line.fields.get("arrivals", 1) != 1]
+    if repeats:
+        return f"it was repeated on its way: {repeats[-1].text()}"
+    return "it was answered at the first try; its time was spent at backend servers"
+
+
+def _refused(line: Line, around: list[Line]) -> str:
+    route = line.fields.get("route")
+    begun = [
+        change
+        for change in around
+        if change.event == "admission-changed"
+        and change.fields.get("route") == route
+        and change.wall <= line.wall
+    ]
+    why = f"refused at the entry: {line.fields.get('share')} of its rank was let in"
+    if line.fields.get("came_back"):
+        why += ", less of those that were refused before"
+    if begun:
+        return f"{why}; since {begun[-1].text()}"
+    return f"{why}; the refusals had begun earlier (admission-changed of {route})"
+
+
+_CAUSES = {
+    "link lost": "the link to the node of its backend server ended",
+    "deadline passed": "no answer came before the timeout of its route",
+    "no backend server": "no backend server of its service could be reached",
+    "leaving": "the backend server it was sent to was leaving, and no other was left",
+    "queue full": "the backend server's queue was full, and so were the others'",
+}
+
+
+def _given_up(line: Line, calls: list[Line], around: list[Line]) -> str:
+    cause = str(line.fields.get("cause"))
+    why = _CAUSES.get(cause, cause)
+    ran = "may have run" if line.fields.get("ran") else "did not run"
+    words = [f"{why}; it {ran}"]
+    failed = [call for call in calls if call.event == "given-up"]
+    if failed:
+        words.append(f"a call made for it ended before: {failed[0].text()}")
+    changes = [change for change in around if change.event != "admission-changed"]
+    if changes:
+        words.append(f"at that time: {changes[-1].text()}")
+    return "; ".join(words)
--- /dev/null
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
@@ -0,0 +1,110 @@
+"""The way of a failed request, from lines that real nodes wrote."""
+
+import json
+
+import trio
+from testtools import TestCase
+
+from fuchsiagap.core.retries.shares import SharedBudget
+from fuchsiagap_ctl.exit_codes import ExitCode
+from fuchsiagap_ctl.explain.lines import read_lines
+from fuchsiagap_ctl.explain.story import tell
+from fuchsiagap_ctl.tests.fake_nodes import FakeNodes, a_folder
+from fuchsiagap_standins.mesh.backend_server import Behaviour, Manner
+from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
+from fuchsiagap_standins.mesh.virtual import run_on_loopback
+
+NO_REPEATS = SharedBudget(0.0, 0.0, 10_000.0)
+
+
+def lines_of(behaviour, route, act):
+    """Return the lines of two nodes around what `act` does with them."""
+
+    async def main():
+        async with a_deployment(route) as deployment:
+            caller = deployment.add("bookings", budget=NO_REPEATS)
+            served = deployment.add("certs", budget=NO_REPEATS)
+            served.server.behave = lambda _: behaviour
+            await deployment.settle()
+            await act(caller, served)
+            buffers = (caller.node.tell, served.node.tell)
+            return [line.decode() for tell in buffers for line in tell.lines()]
+
+    return run_on_loopback(main)
+
+
+class TestExplain(TestCase):
+    def test_unknown_outcome_after_the_link_was_lost(self):
+        async def act(caller, served):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(caller.send, "/write/1", "r1")
+                await trio.sleep(0.2)
+                served.scope.cancel()
+
+        route = a_route("write", idempotent=False)
+        story = tell(
+            read_lines(lines_of(Behaviour(work=900.0), route, act)).lines, "r1"
+        )
+        self.assertIn("link to the node", story.cause)
+        self.assertIn("may have run", story.cause)
+        self.assertIn("link-down", [line.event for line in story.around])
+
+    def test_broken_answer_of_a_backend_server(self):
+        async def act(caller, served):
+            await caller.send("/read/1", "r1")
+
+        lines = lines_of(Behaviour(Manner.CUT), a_route("read"), act)
+        story = tell(read_lines(lines).lines, "r1")
+        self.assertIn("broken answer", story.cause)
+
+    def test_refused_by_every_server(self):
+        async def act(caller, served):
+            await caller.send("/read/1", "r1")
+
+        lines = lines_of(Behaviour(Manner.REFUSE), a_route("read"), act)
+        story = tell(read_lines(lines).lines, "r1")
+        self.assertIn("did not run", story.cause)
+
+    def test_refusal_at_the_entry_names_what_was_full(self):
+        lines = [
+            _line(
+                1_000, "admission-changed", route="read", service="certs", fullness=1.2
+            ),
+            _line(2_000, "refused", "r1", route="read", share=0.4, came_back=True),
+        ]
+        story = tell(read_lines(lines).lines, "r1")
+        self.assertIn("0.4 of its rank", story.cause)
+        self.assertIn("fullness=1.2", story.cause)
+
+    def test_call_below_is_found_by_its_identifier(self):
+        lines = [
+            _line(1_000, "given-up", "r1.a", cause="queue full", ran=False),
+            _line(1_010, "answered", "r10", arrivals=1),
+        ]
+        story = tell(read_lines(lines).lines, "r1")
+        self.assertEqual(["r1.a"], [line.request for line in story.calls])
+        self.assertIn("queue full", story.cause)
+
+    def test_command_writes_the_story_and_what_is_missing(self):
+        path = a_folder(self) / "all.log"
+        lines = [
+            "no line of a node",
+            "12.5 host-a " + _line(2_000, "given-up", "r1", cause="leaving", ran=False),
+            _line(2_100, "answered", "r2", dropped_before=7),
+        ]
+        path.write_text("\n".join(lines))
+        nodes = FakeNodes()
+        self.assertEqual(ExitCode.DONE, nodes.run("explain", "r1", str(path)))
+        self.assertIn("likely cause: the backend server", "\n".join(nodes.lines))
+        self.assertIn("1 lines are no lines of a node", nodes.said)
+        self.assertIn("dropped 7 lines", nodes.said)
+        self.assertEqual(ExitCode.NOT_FOUND, nodes.run("explain", "r9", str(path)))
+        self.assertEqual(ExitCode.USAGE, nodes.run("explain", "r1", "/nowhere/x"))
+
+
+def _line(wall, event, request="", **fields):
+    """Return a line as a node writes it."""
+    data = {"t": wall, "wall": wall, "node": "n-1", "event": event}
+    if request:
+        data["request"] = request
+    return json.dumps({**data, **fields})
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
@@ -80,6 +80,10 @@
             line["dropped_before"], self._dropped = self._dropped, 0
         self._lines.append(json.dumps(line, default=str).encode() + b"\n")
 
+    def lines(self) -> tuple[bytes, ...]:
+        """Return the lines that are still to be written."""
+        return tuple(self._lines)
+
     def fault(self, where: str, exc: BaseException) -> None:
         """Write a line for an exception that nothing else expected."""
         trace = "".join(traceback.format_exception(exc))
