--- /dev/null
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/bench_path.py
@@ -0,0 +1,91 @@
+"""Processor time of a request over two nodes, on loopback in one process.
+
+``python -m fuchsiagap_standins.mesh.bench_path [REQUESTS]``: two nodes, a backend server
+and callers on kept connections share the process, so the figure holds both ends of the
+callers' and the server's connections too.
+"""
+
+from __future__ import annotations
+
+import resource
+import sys
+from dataclasses import dataclass
+
+import trio
+
+from fuchsiagap_node.core.mesh.stream import dial
+from fuchsiagap_standins.mesh.deployment import (
+    a_deployment,
+    a_route,
+    read_answer,
+    request_bytes,
+)
+
+# Callers at the same time, each with one request.
+_CALLERS = 16
+_US_PER_S = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class PathFigures:
+    """What a run measured.
+
+    Parameters
+    ----------
+    requests : int
+        Requests sent.
+    answered : int
+        Requests answered with success.
+    us_a_request : float
+        Processor time of the whole process for each request, in microseconds.
+    """
+
+    requests: int
+    answered: int
+    us_a_request: float
+
+
+async def measure(requests: int) -> PathFigures:
+    """Send requests from one node's callers to the other node's server."""
+    each = max(requests // _CALLERS, 1)
+    answered = 0
+    async with a_deployment(a_route("read")) as deployment:
+        near = deployment.add("bookings")
+        deployment.add("certs", slots=4 * _CALLERS)
+        await trio.sleep(2.0)
+
+        async def call(caller: int) -> None:
+            nonlocal answered
+            stream = await dial(near.node.cfg.addresses.callers, 500.0)
+            for number in range(each):
+                await stream.send(request_bytes("/read/1", f"{caller}-{number}"))
+                answer = await read_answer(stream)
+                answered += answer is not None and answer.status == 200
+            stream.close()
+
+        before = _processor_s()
+        async with trio.open_nursery() as nursery:
+            for caller in range(_CALLERS):
+                nursery.start_soon(call, caller)
+        spent = _processor_s() - before
+    total = each * _CALLERS
+    return PathFigures(total, answered, _US_PER_S * spent / total)
+
+
+def _processor_s() -> float:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+def main() -> None:
+    """Measure and write one line."""
+    requests = int(sys.argv[1]) if len(sys.argv) > 1 else 8_000
+    figures = trio.run(measure, requests)
+    sys.stdout.write(
+        f"{figures.answered} of {figures.requests} answered,"
+        f" {figures.us_a_request:.0f} us of processor time a request\n"
+    )
+
+
+if __name__ == "__main__":
+    main()
