Keep the door open for the first two seconds of a planned stop

Ruled out: members or links (both nodes were known and linked), the store. The test failed first (503 three times).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -21,6 +21,7 @@
 from fuchsiagap_node.core.mesh.final import Final
 from fuchsiagap_node.core.mesh.frames import Hello, Status
 from fuchsiagap_node.core.mesh.member_sync import MemberSync
+from fuchsiagap_node.core.mesh.outcome import LEAVING
 from fuchsiagap_node.core.mesh.own_door import OwnDoor
 from fuchsiagap_node.core.mesh.peers import Peers
 from fuchsiagap_node.core.mesh.placing import Placing
@@ -44,6 +45,9 @@
 _STATUS_MS = 250.0
 # Steps of a server's load, from empty to full, that a status tells apart.
 _STATUS_STEPS = 4
+# Milliseconds after SIGTERM for which the backend server, which may live on, still gets
+# requests: its outage is as much shorter. What it gets last has the rest to end in.
+_DOOR_OPEN_MS = 2_000.0
 # Milliseconds after SIGTERM for which callers still send here: the platform asks once a
 # second and takes a node out after two misses.
 _KNOWN_AS_READY_MS = 2_500.0
@@ -140,6 +144,7 @@
         self._members = MemberSync(own, hello, self._peers, store, clock, tell)
         self._members.on_link = self._prepare_link
         self._settings_fault = ""
+        self._leaving = False
         self._taking = TakingLinks(hello, self.door, self._status, clock, tell)
         self._taking.on_hello = self._members.take_hello
         self._taking.config_text = self._config.text
@@ -242,7 +247,7 @@
 
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
-        return self.entry.table is not None and not self.door.leaving
+        return self.entry.table is not None and not self._leaving
 
     def _answer_health(self, req: Request) -> Final:
         if not req.target.startswith(self.cfg.health_path.encode()):
@@ -301,23 +306,29 @@
         self.door.adopt(self.cfg)
         self._placing.adopt(self.cfg)
 
+    def _close_door(self) -> None:
+        """Give back what waits for the backend server, and let others know."""
+        if not self.door.leaving:
+            self.door.leaving = True
+            self.door.turn_away(LEAVING)
+            self._tell_status()
+
     async def stop(self) -> None:
-        """Refuse what is new at the door, finish what is in progress, and end."""
+        """Take less and less that is new, finish what is in progress, and end."""
         started = self._clock.now()
-        gone = not self.door.instance()
-        self.door.leaving = True
-        self.door.turn_away("leaving")
-        self._tell_status()
-        if gone:
+        self._leaving = True
+        if not self.door.instance():
             await self._members.withdraw()
-        last = started + self.cfg.bounds.stop - _STOP_MARGIN_MS
-        while self._clock.now() < last:
-            if self._clock.now() - started >= _KNOWN_AS_READY_MS:
+        whole = self.cfg.bounds.stop
+        while (spent := self._clock.now() - started) < whole - _STOP_MARGIN_MS:
+            if spent >= min(_DOOR_OPEN_MS, whole / 3.0):
+                self._close_door()
+            if spent >= min(_KNOWN_AS_READY_MS, whole / 2.0):
                 self._callers.closing = True
                 self._callers.close_idle()
                 if not self._callers.in_progress and not self.door.running:
                     break
-            if self._clock.now() - started >= _REFUSE_AFTER_MS:
+            if spent >= min(_REFUSE_AFTER_MS, whole / 2.0):
                 self.entry.stopping = True
             await trio.sleep(_STOP_LOOK_MS / MS_PER_S)
         self.tell.event(
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_node.py
@@ -40,6 +40,26 @@
         self.assertEqual([200] * 30, [answer.status for answer in answers])
         self.assertFalse(ready)
 
+    def test_server_that_lives_on_is_used_while_callers_still_come(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                answers = []
+
+                async def one(at):
+                    await trio.sleep(at)
+                    answers.append(await host.send("/read/1", f"r{at}"))
+
+                async with trio.open_nursery() as nursery:
+                    for at in (0.1, 0.8, 1.5):
+                        nursery.start_soon(one, at)
+                    await host.node.stop()
+                return answers
+
+        answers = run_on_loopback(main)
+        self.assertEqual([200] * 3, [answer.status for answer in answers])
+
     def test_new_requests_late_in_the_stop_are_refused_as_not_run(self):
         async def main():
             async with a_deployment(READ) as deployment:
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/bench_path.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/bench_path.py
@@ -1,8 +1,8 @@
 """Processor time of a request over two nodes, on loopback in one process.
 
-Run as ``python -m fuchsiagap_standins.mesh.bench_path [REQUESTS]``. Two nodes, a backend
-server and callers on kept connections share the process, so the figure holds both ends
-of the callers' and the server's connections too.
+Run as ``python -m fuchsiagap_standins.mesh.bench_path [REQUESTS]``. Two nodes, a
+backend server and callers on kept connections share the process, so the figure holds
+both ends of the callers' and the server's connections too.
 """
 
 from __future__ import annotations
