--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -24,7 +24,7 @@
 # unread, which holds the caller back instead of this node's memory.
 _PIPELINED = 16
 # Milliseconds between two looks for silent callers. One look at all connections costs
-# less than a timeout for each read, which took a tenth of a request's processor time.
+# less than a timeout for each read, which takes 14 us (`move_on_after`, timed alone).
 _SWEEP_MS = 500.0
 _REASONS = {
     400: b"Bad Request",
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
@@ -25,7 +25,7 @@
 # Milliseconds after which the system gives up on bytes that nobody acknowledges.
 _UNACKNOWLEDGED_MS = 3_000.0
 # Compression of links between data centres: the fastest level, and a window of 4 KiB,
-# which holds the last dozen heads and keeps a link's state at some 40 KiB.
+# which holds the last dozen heads; the state of a link was not measured.
 _LEVEL = 1
 _WINDOW_BITS = 12
 _MEMORY_LEVEL = 5
@@ -82,7 +82,7 @@
         """Queue the first message, and compress what follows if `packed`.
 
         Heads of requests repeat from one to the next: on links between data centres,
-        whose bytes are dear, a stream of them shrinks to a third.
+        whose bytes are dear, that took 0.050 to 0.044 GB on a high day.
         """
         self.post(replace(hello, packed=packed))
         self.greeted = True
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -64,7 +64,7 @@
 # Milliseconds before work in the background that failed starts again.
 _RESTART_MS = 500.0
 # Objects between two collections of the youngest generation: the path makes few cycles,
-# and at the default of 700 collections took several in a hundred of the time.
+# so fewer collections are enough. What it gains was not measured.
 _GC_YOUNG = 20_000
 
 
@@ -72,7 +72,7 @@
     """Return a load in steps, so that small changes send no status.
 
     Replies carry the exact load; a status is for senders that had none of late. At
-    one status each look, statuses were a quarter of the bytes between data centres.
+    one status each look, idle links would carry little else.
     """
     step = max(limit // _STATUS_STEPS, 1)
     return load // step * step
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
@@ -39,7 +39,7 @@
 # still awaited.
 _LAST_WORD_MS = 120.0
 # Milliseconds between two looks for overdue replies. One look at all of them costs less
-# than a timeout for each, which took a tenth of a request's processor time.
+# than a timeout for each, which takes 14 us (`move_on_after`, timed alone).
 _SWEEP_MS = 40.0
 # Milliseconds between two looks for a backend server while there is none.
 _LOOK_MS = 40.0
--- a/packages/fuchsiagap/src/fuchsiagap/core/clock.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/clock.py
@@ -75,7 +75,7 @@
     """Return the steady clock of the process, without going through the loop.
 
     On the path of a request the time is read some 16 times; a reading through the loop
-    takes about 0.9 us, this one 0.1 us. It does not follow a virtual clock.
+    takes 0.29 us, this one 0.17 us (timed alone). It does not follow a virtual clock.
     """
 
     def now() -> Milliseconds:
