Do not cut a rank deeper than it can be cut, and return faster from empty services

The levels of lookups went on to rise to 5.7, where 2.5 is all that changes anything for them, and took 15 s to come back while bookings stood at a fifth of its places; slot-view was refused to a tenth for 8 s with its service empty (fullness and levels of each node logged every 500 ms, trial on a scratch copy).

Ruled out: failures that fade too slowly. The fullness that counts them fell below the aim 1 s after the servers had recovered.

Change: each route's level is held within what its own rank can be cut; the way back follows fullness down to 0.1 instead of 0.3, in 2.0 s instead of 2.5 s.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -53,6 +53,7 @@
         self._rng = rng
         self._tell = teller
         self._levels: dict[tuple[str, str], RefusalLevel] = {}
+        self._steps_from_worst: dict[str, int] = {}
         self._stepped_at = clock.now()
         self._longest: dict[str, Milliseconds] = {}
         self._credit: dict[tuple[str, bool], float] = {}
@@ -74,6 +75,7 @@
             was_open = level.cut == 0.0
             fullness = self._pressures.of(service, route)
             level.step(fullness, min(elapsed, 5 * STEP_MS))
+            level.hold_within(self._steps_from_worst.get(route, 0))
             if was_open != (level.cut == 0.0):
                 self._tell.event(
                     "admission-changed",
@@ -88,9 +90,9 @@
         level = self._levels.get((service, route.name))
         if level is None:
             level = self._levels[service, route.name] = RefusalLevel()
-        if level.cut == 0.0:
-            return 1.0
-        return level.admitted(max(lowest_rank - route.priority, 0))
+        steps = max(lowest_rank - route.priority, 0)
+        self._steps_from_worst[route.name] = steps
+        return 1.0 if level.cut == 0.0 else level.admitted(steps)
 
     def admits(self, route: Route, share: float, came_back: bool) -> bool:
         """Return whether one request is let in.
--- a/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
@@ -17,7 +17,10 @@
 REACTION_MS = 900.0
 # The same for the way back. What is let in shows below only after a tree's whole time,
 # so a quick return lets in too much.
-RETURN_MS = 2_500.0
+RETURN_MS = 2_000.0
+# The least fullness that the way back follows: services that are nearly empty, as when
+# their servers stop failing, let in e times as much each second.
+LEAST_FULLNESS = 0.1
 # Largest excess that one step takes in: a long queue says that the share is too
 # large, not by how much.
 MAX_EXCESS = 0.7
@@ -63,7 +66,7 @@
         elapsed : float
             Milliseconds since the last step.
         """
-        excess = math.log(max(fullness, 0.3) / AIM)
+        excess = math.log(max(fullness, LEAST_FULLNESS) / AIM)
         excess = min(excess, MAX_EXCESS)
         reaction = REACTION_MS if excess > 0.0 else RETURN_MS
         self.cut = max(0.0, self.cut + excess * elapsed / reaction)
@@ -71,6 +74,20 @@
         weight = 1.0 - math.exp(-elapsed / _MEAN_MS)
         self._mean += (self.admitted(0) - self._mean) * weight
 
+    def hold_within(self, steps_from_worst: int) -> None:
+        """Do not cut deeper than the requests of one rank can be cut.
+
+        Further cuts would change nothing while the surge lasts, and would have to be
+        taken back first once it ends: a route of the worst rank stood at its least
+        share for 12 s while the service below it was at a fifth of its places.
+
+        Parameters
+        ----------
+        steps_from_worst : int
+            Rank of the requests, as for `admitted`.
+        """
+        self.cut = min(self.cut, self._worst_depth() + steps_from_worst * _DEPTH)
+
     def _worst_depth(self) -> float:
         """Return how deep the worst rank is cut before the next one."""
         return _SURGE_DEPTH if self._mean > _LEAST_MEAN else _DEPTH
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/pressure/test_level.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/pressure/test_level.py
@@ -61,3 +61,19 @@
         cut = level.cut
         after(AIM / 1.5, 2.0, level)
         self.assertGreater(level.cut, cut / 2.0)
+
+    def test_worst_rank_is_back_soon_after_its_servers_stop_failing(self):
+        level = RefusalLevel()
+        for _ in range(80):
+            level.step(AIM * 2.5, STEP_MS)
+            level.hold_within(0)
+        self.assertAlmostEqual(SURGE_SHARE, level.admitted(0))
+        after(AIM * 0.2, 4.0, level)
+        self.assertEqual(1.0, level.admitted(0))
+
+    def test_better_rank_is_still_cut_to_its_least(self):
+        level = RefusalLevel()
+        for _ in range(120):
+            level.step(AIM * 3.0, STEP_MS)
+            level.hold_within(1)
+        self.assertAlmostEqual(LEAST_SHARE, level.admitted(1))
