Count queues by their time, tell what a node believes, remove lost nodes

Three changes in one commit, since they met in the same files:

Cause: 77 waiting at bookings (27 ms each, 35 places) are 60 ms of waiting, and were read as a fullness of 3.2, which cut lookups at the full rate. Change: what waits counts by service time over 100 ms; a status carries the service time in steps of two. Ruled out: nothing further tried. Gauges of the metrics page: version in force and its age, the store's last word, the own backend server and its last heartbeat, servers in reach and fullness of each service, admitted share of each route. 3. Objects of hosts lost for good stayed in the store and were dialled for ever. Nodes out of reach for 60 s are removed by two nodes of each data centre; one that was only cut off announces itself again.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterator
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.routes.model import Route
@@ -94,6 +95,12 @@
         self._steps_from_worst[route.name] = steps
         return 1.0 if level.cut == 0.0 else level.admitted(steps)
 
+    def shares(self) -> Iterator[tuple[str, str, float]]:
+        """Yield service, route and admitted share of what was asked for so far."""
+        for (service, route), level in sorted(self._levels.items()):
+            steps = self._steps_from_worst.get(route, 0)
+            yield service, route, 1.0 if level.cut == 0.0 else level.admitted(steps)
+
     def admits(self, route: Route, share: float, came_back: bool) -> bool:
         """Return whether one request is let in.
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -66,6 +66,8 @@
         self._looks_closely = looks_closely
         self._stored: StoredConfig | None = None
         self._asking = False
+        self._adopted_at = clock.now()
+        self._heard_at = clock.now()
         self.nursery: trio.Nursery | None = None
 
     @property
@@ -73,6 +75,21 @@
         """Revision in force; 0 before the first."""
         return 0 if self._stored is None else self._stored.revision
 
+    @property
+    def version(self) -> int:
+        """Version in force, as the operators count; 0 before the first."""
+        return 0 if self._stored is None else self._stored.config.version
+
+    @property
+    def adopted_age(self) -> Milliseconds:
+        """Milliseconds since the version in force was adopted, or since the start."""
+        return self._clock.now() - self._adopted_at
+
+    @property
+    def store_age(self) -> Milliseconds:
+        """Milliseconds since the store last answered, or since the start."""
+        return self._clock.now() - self._heard_at
+
     def text(self) -> ConfigText | None:
         """Return the configuration in force for another node."""
         if self._stored is None:
@@ -93,6 +110,7 @@
             )
             return
         self._stored = stored
+        self._adopted_at = self._clock.now()
         self._adopt(stored)
         self._tell.event(
             "config-adopted",
@@ -138,6 +156,8 @@
                 result = await self._store.watch_config(revision, watch)
             else:
                 result = await self._store.read_config()
+            if not isinstance(result, StoreFailed):
+                self._heard_at = self._clock.now()
             match result:
                 case ConfigNews(revision, stored):
                     if failing:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -133,6 +133,16 @@
         self._failing_at = now
         return self._failing
 
+    @property
+    def beat_age(self) -> Milliseconds:
+        """Milliseconds since the server was last heard of, or since the start."""
+        return self._clock.now() - self._beat_at
+
+    @property
+    def service_ms(self) -> Milliseconds:
+        """Mean time that a request holds a place; 0 if not known."""
+        return self._queue.service_ms
+
     def is_warming(self) -> bool:
         """Whether the backend server is in its warm-up."""
         return self._clock.now() < self._warm_at
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -57,6 +57,8 @@
         Share of recent requests that ended refused or broken.
     warming : bool
         Whether the server is in its warm-up.
+    service_ms : int
+        Milliseconds that a request holds a place, in steps; 0 if not known.
     revision : int
         Revision of the configuration that this node has adopted.
     """
@@ -66,6 +68,7 @@
     load: int
     failing: float
     warming: bool
+    service_ms: int
     revision: int
 
 
@@ -215,6 +218,7 @@
                 m.load,
                 m.failing,
                 m.warming,
+                m.service_ms,
                 m.revision,
             ]
         case Cancel(call_id):
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -0,0 +1,75 @@
+"""What a node believes now, and how old that is, for its metrics page."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.placement.choice import service_fullness
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from fuchsiagap_node.core.mesh.admission import Admission
+    from fuchsiagap_node.core.mesh.config_sync import ConfigSync
+    from fuchsiagap_node.core.mesh.door import Door
+    from fuchsiagap_node.core.mesh.peers import Peers
+
+
+@dataclass(frozen=True, slots=True)
+class Gauge:
+    """A value that is true now.
+
+    Parameters
+    ----------
+    name : str
+        Name, with its unit.
+    labels : str
+        Labels as the text format has them.
+    value : float
+        Value.
+    """
+
+    name: str
+    labels: str
+    value: float
+
+    def line(self) -> str:
+        """Return it in the text format of Prometheus."""
+        return f"fuchsiagap_{self.name}{{{self.labels}}} {self.value:g}"
+
+
+def config_gauges(config: ConfigSync) -> Iterator[Gauge]:
+    """Yield the version in force, and since when the store was not heard of."""
+    yield Gauge("config_version", "", config.version)
+    yield Gauge("config_revision", "", config.revision)
+    yield Gauge("config_adopted_age_ms", "", round(config.adopted_age))
+    yield Gauge("store_heard_age_ms", "", round(config.store_age))
+
+
+def door_gauges(door: Door) -> Iterator[Gauge]:
+    """Yield what the node believes of its own backend server."""
+    yield Gauge("backend_ready", "", float(bool(door.instance())))
+    yield Gauge("backend_beat_age_ms", "", round(door.beat_age))
+    yield Gauge("backend_places", "", door.limit)
+    yield Gauge("backend_running", "", door.running)
+    yield Gauge("backend_waiting", "", door.load - door.running)
+    yield Gauge("backend_failing_share", "", round(door.failing(), 3))
+
+
+def peer_gauges(peers: Peers) -> Iterator[Gauge]:
+    """Yield, for each service, the servers in reach and how full they are."""
+    for service in peers.services():
+        targets = peers.targets(service)
+        labels = f'service="{service}"'
+        usable = sum(target.usable for target in targets)
+        yield Gauge("servers_known", labels, len(targets))
+        yield Gauge("servers_usable", labels, usable)
+        yield Gauge("service_fullness", labels, round(service_fullness(targets), 3))
+
+
+def admission_gauges(admission: Admission) -> Iterator[Gauge]:
+    """Yield the share of each route's new requests that is let in."""
+    for service, route, share in admission.shares():
+        labels = f'service="{service}",route="{route}"'
+        yield Gauge("admitted_share", labels, round(share, 3))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -29,6 +29,10 @@
 # Milliseconds for which a node that is not listed must have been out of reach before it
 # is forgotten; a list may be older than its announcement.
 _FORGET_MS = 5_000.0
+# Milliseconds without reach after which a listed node counts as lost for good, and is
+# removed from the store. Chosen to be long against a restart, not measured; one that
+# was only cut off announces itself again.
+_LOST_MS = 60_000.0
 # Milliseconds between two calls while the store fails, at first and at most.
 _RETRY_MS = 200.0
 _RETRY_MAX_MS = 1_500.0
@@ -54,6 +58,8 @@
         Time in milliseconds.
     rng : random.Random
         Spreads the lists of the nodes.
+    removes_lost : callable
+        Returns whether this node is one of the few that remove lost nodes.
     teller : Teller
         Logs.
 
@@ -72,6 +78,7 @@
         first_start: bool,
         clock: Clock,
         rng: random.Random,
+        removes_lost: Callable[[], bool],
         teller: Teller,
     ) -> None:
         self._own = own
@@ -81,6 +88,7 @@
         self._first_start = first_start
         self._clock = clock
         self._rng = rng
+        self._removes_lost = removes_lost
         self._tell = teller
         self._links: dict[str, SendingLink] = {}
         self.nursery: trio.Nursery | None = None
@@ -147,7 +155,22 @@
                 await self._list(recent=True)
             spread = 1.0 + _LIST_SPREAD * (2.0 * self._rng.random() - 1.0)
             await trio.sleep(_LIST_MS * spread / MS_PER_S)
-            missing = not self._is_listed(await self._list(recent=False))
+            present = await self._list(recent=False)
+            missing = not self._is_listed(present)
+            if self._removes_lost():
+                await self._remove_lost(present)
+
+    async def _remove_lost(self, present: Mapping[str, Member]) -> None:
+        """Remove nodes from the store that have been out of reach for long."""
+        now = self._clock.now()
+        for node, link in list(self._links.items()):
+            out_of_reach = now - link.reached_at
+            if node not in present or out_of_reach < _LOST_MS:
+                continue
+            failed = await self._store.withdraw(node)
+            cause = None if failed is None else failed.reason
+            silent = round(out_of_reach)
+            self._tell.event("node-removed", node=node, silent=silent, cause=cause)
 
     def _is_listed(self, present: Mapping[str, Member]) -> bool:
         """Whether a list holds this node where it is now; else it is announced."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import gc
+import itertools
+import math
 import random
 import secrets
 import signal
@@ -20,6 +22,12 @@
 from fuchsiagap_node.core.mesh.entry import Entry
 from fuchsiagap_node.core.mesh.final import Final
 from fuchsiagap_node.core.mesh.frames import Hello, Status
+from fuchsiagap_node.core.mesh.gauges import (
+    admission_gauges,
+    config_gauges,
+    door_gauges,
+    peer_gauges,
+)
 from fuchsiagap_node.core.mesh.member_sync import MemberSync
 from fuchsiagap_node.core.mesh.outcome import LEAVING
 from fuchsiagap_node.core.mesh.own_door import OwnDoor
@@ -35,7 +43,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from fuchsiagap.core.clock import Clock
+    from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.door.incarnation import BackendReport
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.settings import MeshSettings
@@ -80,6 +88,11 @@
     return load // step * step
 
 
+def _doubling(time: Milliseconds) -> int:
+    """Return a time as a power of two, so that small changes send no status."""
+    return 1 << round(math.log2(time)) if time >= 1.0 else round(time)
+
+
 class Node:
     """A node of a deployment.
 
@@ -143,7 +156,15 @@
             own.node, own.incarnation, own.address, own.data_centre, own.service
         )
         self._members = MemberSync(
-            own, hello, self._peers, store, cfg.first_start, clock, rng, tell
+            own,
+            hello,
+            self._peers,
+            store,
+            cfg.first_start,
+            clock,
+            rng,
+            self._looks_closely,
+            tell,
         )
         self._members.on_link = self._prepare_link
         self._settings_fault = ""
@@ -180,6 +201,7 @@
             _coarse(self.door.load, self.door.limit),
             round(self.door.failing(), 1),
             self.door.is_warming(),
+            _doubling(self.door.service_ms),
             self._config.revision,
         )
 
@@ -277,7 +299,13 @@
         if req.method != b"GET":
             return Final(404)
         kind = b"Content-Type: text/plain; version=0.0.4\r\n"
-        return Final(200, headers=kind, body=self.tell.metrics().encode())
+        gauges = itertools.chain(
+            config_gauges(self._config),
+            door_gauges(self.door),
+            peer_gauges(self._peers),
+            admission_gauges(self._admission),
+        )
+        return Final(200, headers=kind, body=self.tell.metrics(gauges).encode())
 
     async def _wait_for_stop(self) -> None:
         with trio.open_signal_receiver(
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_door.py
@@ -79,3 +79,4 @@
         target.others = status.load
         target.failing = status.failing
         target.warming = status.warming
+        target.service_ms = status.service_ms
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
@@ -51,6 +51,10 @@
         """Return the door of a node."""
         return self._by_node.get(node)
 
+    def services(self) -> list[str]:
+        """Return the services that have doors, in order."""
+        return sorted(name for name, doors in self._by_service.items() if doors)
+
     def count(self) -> int:
         """Return how many doors are known."""
         return len(self._by_node)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -236,6 +236,7 @@
         target.others = max(status.load - target.mine, 0)
         target.failing = status.failing
         target.warming = status.warming
+        target.service_ms = status.service_ms
         self.revision = status.revision
         self.on_status(self)
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
@@ -17,7 +17,10 @@
 from fuchsiagap.core.clock import MS_PER_S
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from fuchsiagap.core.clock import Clock
+    from fuchsiagap_node.core.mesh.gauges import Gauge
 
 # Lines that wait for standard output at most: about a second of the busiest node.
 _BUFFERED_LINES = 2_000
@@ -101,9 +104,9 @@
         buckets[index] += 1
         self._latency_sum[route] += round(latency)
 
-    def metrics(self) -> str:
-        """Return counters and histograms in the text format of Prometheus."""
-        lines = []
+    def metrics(self, gauges: Iterable[Gauge] = ()) -> str:
+        """Return gauges, counters and histograms in the text format of Prometheus."""
+        lines = [gauge.line() for gauge in gauges]
         for (name, labels), value in sorted(self.counts.items()):
             shown = labels if "=" in labels or not labels else f'kind="{labels}"'
             lines.append(f"fuchsiagap_{name}_total{{{shown}}} {value}")
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_member_sync.py
@@ -77,3 +77,21 @@
                 return near.node.tell.counts["events", "node-gone"]
 
         self.assertEqual(1, run_on_loopback(main))
+
+    def test_node_that_is_lost_for_good_is_removed_from_the_store(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                near = deployment.add("bookings")
+                far = deployment.add("certs")
+                await deployment.settle()
+                far.scope.cancel()
+                await trio.sleep(40.0)
+                early = set(deployment.state.members)
+                await trio.sleep(60.0)
+                counts = near.node.tell.counts
+                return early, set(deployment.state.members), counts
+
+        early, late, counts = run_on_loopback(main)
+        self.assertEqual({"bookings-0", "certs-1"}, early)
+        self.assertEqual({"bookings-0"}, late)
+        self.assertEqual(1, counts["events", "node-gone"])
--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -19,6 +19,10 @@
 # Fullness that a service has if all its requests fail: above the aim, so that the
 # entries refuse trees that would come to nothing.
 FAILING_LOAD = 1.5
+# Milliseconds of waiting that count as one more load of all places. Where requests are
+# short, many may wait and hardly be late, so a queue that is long by number is no
+# reason to refuse trees.
+FULL_WAIT_MS = 100.0
 # Fullness added to a server in its warm-up, while it needs about twice as long.
 WARM_UP_PENALTY = 0.25
 
@@ -49,6 +53,8 @@
         Share of requests that ended refused or broken, as last reported.
     warming : bool
         Whether it is in its warm-up.
+    service_ms : float
+        Milliseconds that a request holds a place; 0 if not known.
     """
 
     node: str
@@ -61,6 +67,15 @@
     mine: int = 0
     failing: float = 0.0
     warming: bool = False
+    service_ms: float = 0.0
+
+    def pressing(self) -> float:
+        """Return its load, with what waits counted by the time that it waits."""
+        load = self.others + self.mine
+        if load <= self.limit or not self.service_ms:
+            return load
+        weight = min(self.service_ms / FULL_WAIT_MS, 1.0)
+        return self.limit + (load - self.limit) * weight
 
     def fullness(self) -> float:
         """Return requests per place, with the next one counted."""
@@ -125,11 +140,11 @@
 
     Servers that take no requests add nothing; 0 without any server.
     """
-    load = 0
+    load = 0.0
     places = 0
     for target in targets:
         if target.usable:
-            load += target.others + target.mine
+            load += target.pressing()
             places += target.limit
     return load / places if places else 0.0
 
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
@@ -63,6 +63,14 @@
         self.assertEqual(1.0, service_fullness(targets))
         self.assertEqual(0.0, service_fullness(()))
 
+    def test_what_waits_counts_by_the_time_that_it_waits(self):
+        short = (a_target("a", others=20, service_ms=25.0),)
+        long = (a_target("a", others=20, service_ms=400.0),)
+        unknown = (a_target("a", others=20),)
+        self.assertAlmostEqual(1.25, service_fullness(short))
+        self.assertAlmostEqual(2.0, service_fullness(long))
+        self.assertAlmostEqual(2.0, service_fullness(unknown))
+
     def test_failures_count_by_places(self):
         targets = (a_target("a", failing=1.0), a_target("b"))
         self.assertAlmostEqual(0.75, service_failing(targets))
