--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -21,8 +21,7 @@
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.stream import Stream
 
-# What the server leaves as it came, so that tests see every header of the node.
-_ALL_HEADERS = HeaderNames(deadline=b"-", target=b"-", caller=b"-")
+_STANDARD_NAMES = HeaderNames()
 
 
 class Manner(Enum):
@@ -69,6 +68,8 @@
         ``IP:PORT``.
     instance : str
         Its incarnation; requests for another one are misdirected.
+    names : HeaderNames, optional
+        Header names that it speaks.
 
     Attributes
     ----------
@@ -86,9 +87,12 @@
         Awaited while a request runs, for calls of its own.
     """
 
-    def __init__(self, address: str, instance: str) -> None:
+    def __init__(
+        self, address: str, instance: str, names: HeaderNames = _STANDARD_NAMES
+    ) -> None:
         self.address = address
         self.instance = instance
+        self._names = names
         self.runs: Counter[str] = Counter()
         self.heads: list[Request] = []
         self.cancelled: list[str] = []
@@ -102,7 +106,9 @@
 
     async def _serve(self, stream: Stream) -> None:
         self.connections += 1
-        reader = RequestReader(_ALL_HEADERS, CallerLimits())
+        # It reads every header as it came, so that tests see those of the node.
+        plain = HeaderNames(deadline=b"-", target=b"-", caller=b"-")
+        reader = RequestReader(plain, CallerLimits())
         try:
             while data := await stream.receive():
                 for req in reader.feed(data):
@@ -114,13 +120,14 @@
 
     async def _answer(self, stream: Stream, req: Request) -> None:
         self.heads.append(req)
-        request_id = _header(req, b"Call-Id")
-        if _header(req, b"Incarnation-Wanted") != self.instance:
-            await stream.send(_answer(421, "", b"", b"Not-Run: 1\r\n"))
+        names = self._names
+        request_id = _header(req, names.request_id)
+        if _header(req, names.target) != self.instance:
+            await stream.send(self._whole(421, "", b"", not_run=True))
             return
         behaviour = self.behave(req)
         if behaviour.manner is Manner.REFUSE:
-            await stream.send(_answer(503, request_id, b"", b"Not-Run: 1\r\n"))
+            await stream.send(self._whole(503, request_id, b"", not_run=True))
             return
         self.runs[request_id] += 1
         if not await self._work(stream, behaviour.work):
@@ -138,28 +145,44 @@
         return not left
 
     async def _send(self, stream: Stream, request_id: str, b: Behaviour) -> None:
-        whole = _answer(b.status, request_id, b.body)
+        whole = self._whole(b.status, request_id, b.body)
         match b.manner:
             case Manner.ANSWER:
                 await stream.send(whole)
             case Manner.LATE_EXTRA:
                 await stream.send(whole)
                 await trio.sleep(0.005)
-                await stream.send(_answer(200, request_id, b"extra"))
+                await stream.send(self._whole(200, request_id, b"extra"))
             case Manner.SHORT:
                 await stream.send(whole[: len(whole) - 2])
                 raise BrokenStream("told to cut the answer short")
             case Manner.GARBLE:
                 await stream.send(b"\x00\x01 no answer\r\n\r\n")
             case Manner.UNFRAMED:
-                head = f"HTTP/1.1 {b.status} X\r\nCall-Id: {request_id}\r\n\r\n"
-                await stream.send(head.encode() + b.body)
+                id_line = self._names.request_id + b": " + request_id.encode()
+                head = b"HTTP/1.1 %d X\r\n%s\r\n\r\n" % (b.status, id_line)
+                await stream.send(head + b.body)
                 raise BrokenStream("the answer ends with its connection")
             case Manner.MUTE:
                 await trio.sleep_forever()
             case _:
                 raise BrokenStream("told to cut the connection")
 
+    def _whole(
+        self, status: int, request_id: str, body: bytes, not_run: bool = False
+    ) -> bytes:
+        """Return an answer with its length."""
+        names = self._names
+        lines = [
+            b"HTTP/1.1 %d X" % status,
+            names.request_id + b": " + request_id.encode(),
+            names.signature + b": " + self.instance.encode(),
+        ]
+        if not_run:
+            lines.append(names.not_run + b": 1")
+        lines.append(b"Content-Length: %d" % len(body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
 
 def _header(req: Request, name: bytes) -> str:
     for line in req.headers.split(b"\r\n"):
@@ -167,9 +190,3 @@
         if key == name:
             return value.decode()
     return ""
-
-
-def _answer(status: int, request_id: str, body: bytes, extra: bytes = b"") -> bytes:
-    head = f"HTTP/1.1 {status} X\r\nCall-Id: {request_id}\r\nSignature: s\r\n"
-    length = f"Content-Length: {len(body)}\r\n\r\n"
-    return head.encode() + extra + length.encode() + body
