Let a silent store not hold up a planned stop

Ruled out: the machine's load.

Change: the withdrawal runs beside the stop. The new test failed first (200 where a request 3.4 s after SIGTERM is to be refused).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -344,8 +344,21 @@
         """Take less and less that is new, finish what is in progress, and end."""
         started = self._clock.now()
         self._leaving = True
-        if not self.door.instance():
-            await self._members.withdraw()
+        async with trio.open_nursery() as nursery:
+            if not self.door.instance():
+                # Beside the rest: a store that is silent must not use up the time.
+                nursery.start_soon(self._members.withdraw)
+            await self._wind_down(started)
+            nursery.cancel_scope.cancel()
+        self.tell.event(
+            "ending",
+            callers=self._callers.in_progress,
+            running=self.door.running,
+            took=round(self._clock.now() - started),
+        )
+
+    async def _wind_down(self, started: Milliseconds) -> None:
+        """Close the door, then the callers' connections, until nothing is left."""
         whole = self.cfg.bounds.stop
         while (spent := self._clock.now() - started) < whole - _STOP_MARGIN_MS:
             if spent >= min(_DOOR_OPEN_MS, whole / 3.0):
@@ -358,9 +371,3 @@
             if spent >= min(_REFUSE_AFTER_MS, whole / 2.0):
                 self.entry.stopping = True
             await trio.sleep(_STOP_LOOK_MS / MS_PER_S)
-        self.tell.event(
-            "ending",
-            callers=self._callers.in_progress,
-            running=self.door.running,
-            took=round(self._clock.now() - started),
-        )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_node.py
@@ -5,6 +5,7 @@
 import trio
 from testtools import TestCase
 
+from fuchsiagap.core.door.incarnation import BackendState
 from fuchsiagap.core.retries.shares import SharedBudget
 from fuchsiagap_node.core.mesh.node import Node
 from fuchsiagap_node.core.mesh.settings import Bounds
@@ -82,6 +83,34 @@
         answers = run_on_loopback(main)
         self.assertEqual([200, 200, 503, 503], [a.status for _, a in answers])
 
+    def test_store_that_does_not_answer_does_not_hold_up_the_stop(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                host = deployment.add("certs")
+                other = deployment.add("certs")
+                other.server.behave = lambda _: Behaviour(work=1_400.0)
+                await deployment.settle()
+                host.report(BackendState.DRAINING)
+                host.store.mute = True
+                answers = []
+
+                async def one(at):
+                    await trio.sleep(at)
+                    answers.append((at, await host.send("/read/1", f"r{at}", 5_000)))
+
+                started = trio.current_time()
+                async with trio.open_nursery() as nursery:
+                    for at in (1.0, 2.4, 3.4):
+                        nursery.start_soon(one, at)
+                    with trio.move_on_after(20.0):
+                        await host.node.stop()
+                    ended = trio.current_time() - started
+                return sorted(answers), ended
+
+        answers, ended = run_on_loopback(main)
+        self.assertEqual([200, 200, 503], [a.status for _, a in answers])
+        self.assertLess(ended, 6.0)
+
 
 class TestSettings(TestCase):
     def test_changed_bounds_are_adopted_and_bad_settings_are_not(self):
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
@@ -82,12 +82,15 @@
     ----------
     down : bool
         Whether every call of this node fails.
+    mute : bool
+        Whether changes of this node are never answered.
     """
 
     def __init__(self, state: SharedState, known: dict[int, RouteConfig]) -> None:
         self._state = state
         self._known = known
         self.down = False
+        self.mute = False
 
     def _call(self, price: float = 1.0) -> StoreFailed | None:
         self._state.calls += price
@@ -142,7 +145,7 @@
 
     async def withdraw(self, node: str) -> StoreFailed | None:
         """Take this node out."""
-        await trio.lowlevel.checkpoint()
+        await (trio.sleep_forever() if self.mute else trio.lowlevel.checkpoint())
         if (failed := self._call()) is not None:
             return failed
         self._state.members.pop(node, None)
