Untie three import circles of the earlier packages

client and sending share ClientState; a node's state is given its `serve` by the module that serves; the conditions of a randomised run have a module of their own. What is left are packages that import what they offer (gossip, bench.faults).

--- a/packages/fuchsiagap-client/src/fuchsiagap_client/core/client.py
+++ b/packages/fuchsiagap-client/src/fuchsiagap_client/core/client.py
@@ -4,16 +4,16 @@
 
 import random
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import httpx
 
-from fuchsiagap import Clock, Outcome, trio_clock
+from fuchsiagap import Outcome, trio_clock
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap_client.core.nodes import Nodes
 from fuchsiagap_client.core.sending import send
 from fuchsiagap_client.core.settings import ClientSettings, check_settings
+from fuchsiagap_client.core.state import ClientState
 from fuchsiagap_client.core.tickets import TicketStock
 
 if TYPE_CHECKING:
@@ -22,32 +22,8 @@
     from fuchsiagap_client.core.request import Request
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class Client:
-    """A client; `open_client` makes one.
-
-    Parameters
-    ----------
-    cfg : ClientSettings
-        Its settings.
-    clock : Clock
-        The clock of this process.
-    rng : random.Random
-        Source of the jitter.
-    http : httpx.AsyncClient
-        The connections.
-    nodes : Nodes
-        Which node gets an attempt.
-    stock : TicketStock
-        Unused tickets.
-    """
-
-    cfg: ClientSettings
-    clock: Clock
-    rng: random.Random
-    http: httpx.AsyncClient
-    nodes: Nodes
-    stock: TicketStock
+class Client(ClientState):
+    """A client; `open_client` makes one."""
 
     async def send(self, req: Request) -> Outcome:
         """Send a request, and repeat it as far as that is safe and allowed.
--- a/packages/fuchsiagap-client/src/fuchsiagap_client/core/sending.py
+++ b/packages/fuchsiagap-client/src/fuchsiagap_client/core/sending.py
@@ -24,8 +24,8 @@
     import httpx
 
     from fuchsiagap import Milliseconds
-    from fuchsiagap_client.core.client import Client
     from fuchsiagap_client.core.request import Request
+    from fuchsiagap_client.core.state import ClientState
 
 _REPEATED_REFUSALS = frozenset(
     {
@@ -82,12 +82,12 @@
     tried: tuple[str, ...] = ()
 
 
-async def send(client: Client, req: Request) -> Outcome:
+async def send(client: ClientState, req: Request) -> Outcome:
     """Send a request, and repeat it as far as that is safe and allowed.
 
     Parameters
     ----------
-    client : Client
+    client : ClientState
         The client.
     req : Request
         The request.
@@ -120,7 +120,7 @@
     return outcome.reason in _HOME_LOST and not sending.unaccounted
 
 
-async def _take_ticket(client: Client, sending: _Sending) -> Refused | None:
+async def _take_ticket(client: ClientState, sending: _Sending) -> Refused | None:
     """Give the request a ticket no copy was sent with; return why there is none."""
     held = await client.stock.take(sending.deadline)
     if isinstance(held, HeldTicket):
@@ -130,7 +130,7 @@
     return None if sending.req.safe else held
 
 
-async def _send_copy(client: Client, sending: _Sending) -> Outcome:
+async def _send_copy(client: ClientState, sending: _Sending) -> Outcome:
     preferred = sending.held.node if sending.held is not None else ""
     node = client.nodes.choose(preferred, sending.tried)
     left = sending.deadline - client.clock.now()
@@ -155,7 +155,7 @@
     return read_outcome(response)
 
 
-def _patience(client: Client, left: Milliseconds, timeout: Milliseconds) -> float:
+def _patience(client: ClientState, left: Milliseconds, timeout: Milliseconds) -> float:
     """Return how many milliseconds to wait for one copy."""
     if client.cfg.attempt_timeout > 0:
         return min(timeout, client.cfg.attempt_timeout)
@@ -190,7 +190,7 @@
     return Exchange(node, req.method, req.path, (*req.headers, *own), req.body)
 
 
-def _note(client: Client, sending: _Sending, node: str, outcome: Outcome) -> None:
+def _note(client: ClientState, sending: _Sending, node: str, outcome: Outcome) -> None:
     """Learn from a copy's outcome."""
     if isinstance(outcome, Answered):
         return
@@ -207,7 +207,7 @@
 
 
 async def _may_repeat(
-    client: Client, sending: _Sending, outcome: Refused | Unknown
+    client: ClientState, sending: _Sending, outcome: Refused | Unknown
 ) -> bool:
     """Wait out the backoff; False if there is to be no other copy."""
     if isinstance(outcome, Refused):
@@ -224,7 +224,7 @@
 
 
 def _backoff(
-    client: Client, sending: _Sending, outcome: Refused | Unknown
+    client: ClientState, sending: _Sending, outcome: Refused | Unknown
 ) -> Milliseconds:
     """Return the wait before the next copy: what the node asks for, and jitter."""
     cfg = client.cfg
@@ -236,7 +236,7 @@
 
 
 async def _final(
-    client: Client, sending: _Sending, outcome: Refused | Unknown
+    client: ClientState, sending: _Sending, outcome: Refused | Unknown
 ) -> Outcome:
     """Return the outcome of the request, whose last copy was not answered."""
     if not sending.unaccounted:
@@ -253,7 +253,7 @@
     return outcome
 
 
-async def _settle(client: Client, sending: _Sending) -> Answered | Refused | None:
+async def _settle(client: ClientState, sending: _Sending) -> Answered | Refused | None:
     """Ask what became of the request; burn its ticket if it was not started."""
     assert sending.held is not None
     wait = sending.deadline - client.clock.now()
--- /dev/null
+++ b/packages/fuchsiagap-client/src/fuchsiagap_client/core/state.py
@@ -0,0 +1,44 @@
+"""What the requests of one client share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    import httpx
+
+    from fuchsiagap import Clock
+    from fuchsiagap_client.core.nodes import Nodes
+    from fuchsiagap_client.core.settings import ClientSettings
+    from fuchsiagap_client.core.tickets import TicketStock
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class ClientState:
+    """State of a client.
+
+    Parameters
+    ----------
+    cfg : ClientSettings
+        Its settings.
+    clock : Clock
+        The clock of this process.
+    rng : random.Random
+        Source of the jitter.
+    http : httpx.AsyncClient
+        The connections.
+    nodes : Nodes
+        Which node gets an attempt.
+    stock : TicketStock
+        Unused tickets.
+    """
+
+    cfg: ClientSettings
+    clock: Clock
+    rng: random.Random
+    http: httpx.AsyncClient
+    nodes: Nodes
+    stock: TicketStock
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/callpath/serve.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/callpath/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -30,6 +31,7 @@
         return await serve(state, head_from_wire(msg.head, state.clock.now()), msg.body)
 
     state.handlers.on_ask(CallMessage, on_call)
+    state.serve = partial(serve, state)
 
 
 async def serve(state: NodeState, head: CallHead, body: bytes) -> Outcome:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/state.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/state.py
@@ -8,11 +8,11 @@
 import trio
 
 from fuchsiagap_node.core.callpath.calls import CallTable
-from fuchsiagap_node.core.callpath.serve import serve
 from fuchsiagap_node.core.peers.handlers import Handlers
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Awaitable, Callable
 
     from fuchsiagap.core.admission.gate import Gate
     from fuchsiagap.core.admission.levels import Levels
@@ -29,6 +29,10 @@
     from fuchsiagap_node.core.ports import BackendServer, Peers, Platform
 
 
+async def _not_registered(head: CallHead, body: bytes) -> Outcome:
+    raise RuntimeError(f"nothing serves calls yet: {head.call_id}, {len(body)} bytes")
+
+
 @dataclass(slots=True, eq=False)
 class NodeState:
     """All that the tasks of a node share.
@@ -73,6 +77,9 @@
         Set by a signal or by an operator.
     leaving : bool
         Whether new work is refused.
+    serve : callable
+        Runs a call on the backend server of this node, if it is admitted; put in by
+        `callpath.serve.register`.
     """
 
     cfg: NodeConfig
@@ -94,6 +101,9 @@
     calls: CallTable = field(default_factory=CallTable)
     drain_requested: trio.Event = field(default_factory=trio.Event)
     leaving: bool = False
+    serve: Callable[[CallHead, bytes], Awaitable[Outcome]] = field(
+        default=_not_registered
+    )
 
     @property
     def node(self) -> str:
@@ -105,10 +115,6 @@
         """The node's name."""
         return self.cfg.name
 
-    async def serve(self, head: CallHead, body: bytes) -> Outcome:
-        """Run a call on the backend server of this node, if it is admitted."""
-        return await serve(self, head, body)
-
     def request_drain(self) -> None:
         """Ask for a graceful shutdown."""
         self.drain_requested.set()
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/fleet.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/fleet.py
@@ -30,8 +30,8 @@
     from fuchsiagap_node.core.config import NodeConfig
     from fuchsiagap_node.core.ports import Dial
     from fuchsiagap_node.core.state import NodeState
+    from fuchsiagap_standins.bench.faults.conditions import Conditions
     from fuchsiagap_standins.bench.faults.evidence import Evidence
-    from fuchsiagap_standins.bench.faults.plan import Conditions
 
 _WALL_MS = 1_700_000_000_000.0
 
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/plan.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/plan.py
@@ -11,8 +11,7 @@
 if TYPE_CHECKING:
     import random
 
-# Seconds of virtual time: load runs, then everything heals and comes to rest.
-LOAD_S = 9.0
+# Seconds of virtual time, within the time of the load.
 FIRST_FAULT_S = 2.3
 LAST_FAULT_S = 7.0
 
@@ -51,37 +50,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Conditions:
-    """How tight things are in a run, apart from faults.
-
-    Parameters
-    ----------
-    slots : int
-        Calls a backend server works on at once; it sheds what is more.
-    kept_answers : int
-        Outcomes that the home of a ticket keeps.
-    pause : float
-        Seconds between two requests of a caller, on average.
-    load_s : float
-        Seconds at which callers send their last request.
-    """
-
-    slots: int = 20
-    kept_answers: int = 50_000
-    pause: float = 0.35
-    load_s: float = LOAD_S
-
-
-def draw_conditions(rng: random.Random) -> Conditions:
-    """Return the conditions of a run."""
-    return Conditions(
-        slots=rng.choice((2, 5, 20)),
-        kept_answers=rng.choice((4, 50_000)),
-        pause=rng.choice((0.2, 0.35)),
-    )
-
-
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One fault of a run.
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/run.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/run.py
@@ -24,16 +24,12 @@
     check_rest,
     check_run,
 )
+from fuchsiagap_standins.bench.faults.conditions import Conditions, draw_conditions
 from fuchsiagap_standins.bench.faults.evidence import Evidence
 from fuchsiagap_standins.bench.faults.fleet import Fleet, open_fleet
 from fuchsiagap_standins.bench.faults.inject import inject
 from fuchsiagap_standins.bench.faults.operators import Changes, run_operator
-from fuchsiagap_standins.bench.faults.plan import (
-    Conditions,
-    Fault,
-    draw_conditions,
-    draw_faults,
-)
+from fuchsiagap_standins.bench.faults.plan import Fault, draw_faults
 from fuchsiagap_standins.bench.faults.shape import NODES, TEAM, team_text
 from fuchsiagap_standins.bench.faults.timeline import merged_events
 from fuchsiagap_standins.testing import run_virtual
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/shape.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/shape.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from fuchsiagap_node.core.config import NodeConfig
-    from fuchsiagap_standins.bench.faults.plan import Conditions
+    from fuchsiagap_standins.bench.faults.conditions import Conditions
 
 TEAM = memory_nodes.TEAM
 # A team without backend servers, whose settings are changed and deleted.
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/tests/bench/faults/test_breaks.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/tests/bench/faults/test_breaks.py
@@ -3,7 +3,8 @@
 from testtools import TestCase
 
 from fuchsiagap_standins.bench.faults.breaks import BREAKS
-from fuchsiagap_standins.bench.faults.plan import Conditions, Fault, FaultKind
+from fuchsiagap_standins.bench.faults.conditions import Conditions
+from fuchsiagap_standins.bench.faults.plan import Fault, FaultKind
 from fuchsiagap_standins.bench.faults.run import RunResult, run_once
 from fuchsiagap_standins.bench.faults.shape import NODES
 
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/tests/bench/faults/test_found.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/tests/bench/faults/test_found.py
@@ -24,9 +24,9 @@
 from fuchsiagap_node.core.callpath.home_tickets import issue_batch
 from fuchsiagap_node.core.callpath.relay import send_home
 from fuchsiagap_standins.answers import CallMark
+from fuchsiagap_standins.bench.faults.conditions import Conditions
 from fuchsiagap_standins.bench.faults.evidence import Evidence
 from fuchsiagap_standins.bench.faults.fleet import Fleet, open_fleet
-from fuchsiagap_standins.bench.faults.plan import Conditions
 from fuchsiagap_standins.bench.faults.run import put_first_settings
 from fuchsiagap_standins.bench.faults.shape import NODES, ROUTES
 from fuchsiagap_standins.builders import an_issue_head
