Keep requests in their own data centre by what moving them costs

Change: 0.5, and 0.15 for each KB of a route's requests and answers as measured by the entry, at most 1.0 more. In the same files: a connection to the backend server knows its call and not the door's job, and the metrics' types moved, which unties the import circles of the mesh.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -12,7 +12,6 @@
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.frames import Call
     from fuchsiagap_node.core.mesh.http_answer import Answer
-    from fuchsiagap_node.core.mesh.job import Job
     from fuchsiagap_node.core.mesh.outcome import Outcome
     from fuchsiagap_node.core.mesh.settings import MeshSettings
 
@@ -41,8 +40,8 @@
 
     Attributes
     ----------
-    job : Job or None
-        The job whose answer is awaited; None while the connection is idle.
+    call : Call or None
+        The call whose answer is awaited; None while the connection is idle.
     closed : bool
         Whether it takes no more calls.
     """
@@ -57,7 +56,7 @@
         self._crossed = False
         self._idle_since: Milliseconds = 0.0
         self._idle_ms = _IDLE_UNKNOWN_MS
-        self.job: Job | None = None
+        self.call: Call | None = None
         self.closed = False
 
     def close(self) -> None:
@@ -86,13 +85,13 @@
         """Whether an idle connection is open and has nothing to read."""
         return self._stream is not None and self._stream.is_quiet()
 
-    def send(self, job: Job, left: Milliseconds) -> bool:
-        """Send a job's call, as much as goes out at once; `push` sends the rest.
+    def send(self, call: Call, left: Milliseconds) -> bool:
+        """Send a call, as much as goes out at once; `push` sends the rest.
 
         Parameters
         ----------
-        job : Job
-            The job.
+        call : Call
+            The call.
         left : float
             Milliseconds until its answer is worth nothing.
 
@@ -102,14 +101,13 @@
             False if the connection had broken before a byte left; it is closed then.
         """
         assert self._stream is not None
-        call = job.call
         data = call.head + self._deadline_line % int(left) + call.body
         try:
             self._unsent = self._stream.send_some(data)
         except BrokenStream:
             self.close()
             return False
-        self.job = job
+        self.call = call
         return True
 
     @property
@@ -132,20 +130,20 @@
         Returns
         -------
         Answered, NotRun, MayHaveRun or None
-            The outcome of the job; None while it has none, or if there is no job, when
-            the connection is closed.
+            The outcome of the call; None while it has none, or if there is no call,
+            when the connection is closed.
         """
         assert self._stream is not None
         try:
             data = await self._stream.receive()
-            if self.job is None:
+            if self.call is None:
                 # Closed by the server, or bytes that belong to no call.
                 self.close()
                 return None
-            answer = self._answer(data, self.job.call)
+            answer = self._answer(data, self.call)
         except (BrokenStream, BadAnswer) as exc:
             self.close()
-            return MayHaveRun(f"broken answer: {exc}") if self.job else None
+            return MayHaveRun(f"broken answer: {exc}") if self.call else None
         return None if answer is None else _outcome(answer)
 
     def _answer(self, data: bytes, call: Call) -> Answer | None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -82,6 +82,7 @@
         self._incarnation = Incarnation()
         self._idle: list[BackendConn] = []
         self._at_server: dict[Job, None] = {}
+        self._carried: dict[BackendConn, Job] = {}
         self._by_id: dict[str, Job] = {}
         self._nursery: trio.Nursery | None = None
         self._usable = ""
@@ -245,7 +246,7 @@
         """End a call at the server; closing its connection tells the server so."""
         conn = job.conn
         if conn is not None:
-            conn.job = None
+            conn.call = None
             conn.close()
         self._settle(job, outcome)
 
@@ -264,13 +265,21 @@
         job.started = now
         conn = self._idle_conn(job.call.idempotent, now)
         while conn is not None:
-            job.conn = conn
-            if conn.send(job, job.deadline - now):
+            self._carry(conn, job)
+            if conn.send(job.call, job.deadline - now):
                 self._push_rest(conn)
                 return
             conn = self._idle_conn(job.call.idempotent, now)
-        job.conn = BackendConn(self._cfg, self._clock)
-        self._nursery.start_soon(self._own, job.conn, job)
+        conn = BackendConn(self._cfg, self._clock)
+        self._carry(conn, job)
+        self._nursery.start_soon(self._own, conn, job)
+
+    def _carry(self, conn: BackendConn, job: Job) -> None:
+        """Note which connection carries a call; one that broke carries none."""
+        if job.conn is not None:
+            del self._carried[job.conn]
+        job.conn = conn
+        self._carried[conn] = job
 
     def _idle_conn(self, idempotent: bool, now: Milliseconds) -> BackendConn | None:
         """Return the idle connection that was used last, if it may take a call."""
@@ -296,9 +305,9 @@
                         self._take_outcome(conn, outcome)
         except Exception as exc:
             self._tell.fault("backend-connection", exc)
-            if conn.job is not None:
-                why = f"fault of the node: {type(exc).__name__}"
-                self._settle(conn.job, MayHaveRun(why))
+            conn.close()
+            why = f"fault of the node: {type(exc).__name__}"
+            self._take_outcome(conn, MayHaveRun(why))
         finally:
             conn.close()
             if conn in self._idle:
@@ -319,7 +328,7 @@
         if left < _LEAST_LEFT_MS:
             self._settle(job, NotRun(EXPIRED))
             return False
-        if not conn.send(job, left):
+        if not conn.send(job.call, left):
             self._settle(job, NotRun("closed at once", offered=True))
             return False
         self._push_rest(conn)
@@ -327,7 +336,8 @@
 
     def _take_outcome(self, conn: BackendConn, outcome: Outcome) -> None:
         """Settle the call of a connection, and keep the connection if it is whole."""
-        job, conn.job = conn.job, None
+        conn.call = None
+        job = self._carried.get(conn)
         if not conn.closed:
             self._idle.append(conn)
         if job is not None:
@@ -335,7 +345,9 @@
 
     def _settle(self, job: Job, outcome: Outcome) -> None:
         """Reply to a call that had a place, and give the place to the next one."""
-        job.conn = None
+        if job.conn is not None:
+            del self._carried[job.conn]
+            job.conn = None
         self._queue.running -= 1
         del self._at_server[job]
         if self._by_id.get(job.call.request_id) is job:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.placement.choice import service_fullness
+from fuchsiagap_node.core.mesh.telling import Gauge
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -16,29 +16,6 @@
     from fuchsiagap_node.core.mesh.peers import Peers
 
 
-@dataclass(frozen=True, slots=True)
-class Gauge:
-    """A value that is true now.
-
-    Parameters
-    ----------
-    name : str
-        Name, with its unit.
-    labels : str
-        Labels as the text format has them.
-    value : float
-        Value.
-    """
-
-    name: str
-    labels: str
-    value: float
-
-    def line(self) -> str:
-        """Return it in the text format of Prometheus."""
-        return f"fuchsiagap_{self.name}{{{self.labels}}} {self.value:g}"
-
-
 def config_gauges(config: ConfigSync) -> Iterator[Gauge]:
     """Yield the version in force, and since when the store was not heard of."""
     yield Gauge("config_version", "", config.version)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -146,7 +146,7 @@
     def _place(self) -> None:
         """Send the request to the next backend server, if there is one."""
         placing = self._placing
-        peer = placing.choose(self._service, self._tried)
+        peer = placing.choose(self._service, self._route.name, self._tried)
         if peer is None:
             patience = self._started + _LOOK_SHARE * self._route.objective
             now = placing.clock.now()
@@ -189,13 +189,17 @@
 
     def _take_reply(self, outcome: Outcome, below: float) -> None:
         """Take the outcome of the call; a fault here must not end the link's task."""
-        if self._call is None:
+        call = self._call
+        if call is None:
             return
         peer, self._peer, self._call = self._peer, None, None
         try:
             if isinstance(outcome, Answered):
                 route = self._route.name
                 self._placing.pressures.note_reply(self._service, route, below)
+                sent = len(call.head) + len(call.body)
+                received = len(outcome.headers) + len(outcome.body)
+                self._placing.note_bytes(route, sent + received)
             if peer is not None:
                 self._tried.append(peer.target.instance)
             self._take_outcome(outcome)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
@@ -3,22 +3,33 @@
 from __future__ import annotations
 
 from itertools import count
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
-from fuchsiagap.core.placement.choice import choose
+from fuchsiagap.core.placement.choice import choose, remote_penalty
 from fuchsiagap.core.retries.shares import BudgetShare
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
-    from fuchsiagap.core.clock import Clock
+    from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.peers import Peer, Peers
-    from fuchsiagap_node.core.mesh.placement import Placement
     from fuchsiagap_node.core.mesh.pressures import Pressures
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.telling import Teller
 
+# Weight of one request in the mean size of those of a route: about the last 20 count.
+_BYTES_WEIGHT = 0.05
+
+
+class InProgress(Protocol):
+    """A request without a final answer, as time sees it."""
+
+    wakes_at: Milliseconds
+
+    def wake(self) -> None:
+        """Do what is due from `wakes_at` on."""
+
 
 class Placing:
     """Doors, budgets and time of the requests that are being placed.
@@ -40,7 +51,7 @@
 
     Attributes
     ----------
-    in_progress : dict of Placement to None
+    in_progress : dict of InProgress to None
         Requests without a final answer.
     caller_line : bytes
         Header line that names the service on whose host requests begin here.
@@ -57,13 +68,14 @@
     ) -> None:
         self._cfg = cfg
         self._rng = rng
+        self._bytes: dict[str, float] = {}
         self._budgets: dict[str, BudgetShare] = {}
         self._ids = count(1)
         self.peers = peers
         self.pressures = pressures
         self.clock = clock
         self.tell = teller
-        self.in_progress: dict[Placement, None] = {}
+        self.in_progress: dict[InProgress, None] = {}
         self.caller_line = b"%s: %s\r\n" % (cfg.names.caller, cfg.service.encode())
         self.target_name = cfg.names.target
 
@@ -79,14 +91,20 @@
         for placement in [p for p in self.in_progress if p.wakes_at <= now]:
             placement.wake()
 
-    def choose(self, service: str, tried: Sequence[str]) -> Peer | None:
+    def choose(self, service: str, route: str, tried: Sequence[str]) -> Peer | None:
         """Return the door for a request's next try; None while there is none."""
         targets = self.peers.targets(service)
-        target = choose(targets, tried, self._rng)
+        penalty = remote_penalty(self._bytes.get(route, 0.0))
+        target = choose(targets, tried, self._rng, penalty)
         if target is None and tried:
-            target = choose(targets, tried[-1:], self._rng)
+            target = choose(targets, tried[-1:], self._rng, penalty)
         return None if target is None else self.peers.get(target.node)
 
+    def note_bytes(self, route: str, n_bytes: int) -> None:
+        """Learn how many bytes a request of a route and its answer take."""
+        known = self._bytes.get(route, float(n_bytes))
+        self._bytes[route] = known + (n_bytes - known) * _BYTES_WEIGHT
+
     def next_id(self) -> int:
         """Return a number for a call, unique in this process."""
         return next(self._ids)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
@@ -10,13 +10,13 @@
 import os
 import traceback
 from collections import Counter, deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from fuchsiagap.core.clock import Clock
-    from fuchsiagap_node.core.mesh.gauges import Gauge
 
 # Lines that wait for standard output at most: about a second of the busiest node.
 _BUFFERED_LINES = 2_000
@@ -29,6 +29,29 @@
 LATENCY_BOUNDS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000)
 
 
+@dataclass(frozen=True, slots=True)
+class Gauge:
+    """A value that is true now.
+
+    Parameters
+    ----------
+    name : str
+        Name, with its unit.
+    labels : str
+        Labels as the text format has them.
+    value : float
+        Value.
+    """
+
+    name: str
+    labels: str
+    value: float
+
+    def line(self) -> str:
+        """Return it in the text format of Prometheus."""
+        return f"fuchsiagap_{self.name}{{{self.labels}}} {self.value:g}"
+
+
 class Teller:
     """Writes one line for each decision and counts what happens often.
 
--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -12,7 +12,12 @@
 # Fullness that a server of another data centre must be better by, relative to its own
 # where that is above 1: traffic between data centres is dear, an overfull data centre
 # dearer.
-REMOTE_PENALTY = 0.3
+REMOTE_PENALTY = 0.5
+# What is added to it for each kilobyte of a request and its answer, and the most that
+# is added: the same room elsewhere is bought for less by moving small requests.
+REMOTE_PENALTY_A_KB = 0.15
+MOST_FOR_BYTES = 1.0
+_BYTES_A_KB = 1_000.0
 # Fullness that counts for each unit of the share of refused or broken requests, so that
 # a server that fails fast does not look empty and attract all.
 FAILURE_PENALTY = 3.0
@@ -81,11 +86,11 @@
         """Return requests per place, with the next one counted."""
         return (self.others + self.mine + 1) / max(self.limit, 1)
 
-    def cost(self) -> float:
+    def cost(self, remote_penalty: float) -> float:
         """Return what the choice compares; the least is chosen."""
         cost = self.fullness() + FAILURE_PENALTY * self.failing
         if not self.local:
-            cost += REMOTE_PENALTY * max(cost, 1.0)
+            cost += remote_penalty * max(cost, 1.0)
         if self.warming:
             cost += WARM_UP_PENALTY
         return cost
@@ -95,8 +100,23 @@
 _COMPARED = 6
 
 
+def remote_penalty(n_bytes: float) -> float:
+    """Return the fullness that a server elsewhere must be better by.
+
+    Parameters
+    ----------
+    n_bytes : float
+        Bytes of such a request and its answer.
+    """
+    for_bytes = REMOTE_PENALTY_A_KB * n_bytes / _BYTES_A_KB
+    return REMOTE_PENALTY + min(for_bytes, MOST_FOR_BYTES)
+
+
 def choose(
-    targets: Sequence[Target], without: Collection[str], rng: random.Random
+    targets: Sequence[Target],
+    without: Collection[str],
+    rng: random.Random,
+    penalty: float = REMOTE_PENALTY,
 ) -> Target | None:
     """Return the server that the next request goes to.
 
@@ -108,6 +128,8 @@
         Incarnations that this request has been at.
     rng : random.Random
         Breaks ties, and samples where there are many servers.
+    penalty : float
+        What a server of another data centre must be better by; see `remote_penalty`.
 
     Returns
     -------
@@ -120,7 +142,7 @@
     best: Target | None = None
     best_cost = float("inf")
     for target in usable:
-        cost = target.cost() + rng.random() * 0.02
+        cost = target.cost(penalty) + rng.random() * 0.02
         if cost < best_cost:
             best, best_cost = target, cost
     return best
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
@@ -5,6 +5,7 @@
 from fuchsiagap.core.placement.choice import (
     Target,
     choose,
+    remote_penalty,
     service_failing,
     service_fullness,
 )
@@ -34,6 +35,21 @@
         near = a_target("near", others=14)
         self.assertEqual({"far"}, picks(near, a_target("far", local=False)))
 
+    def test_small_requests_go_elsewhere_before_large_ones(self):
+        near, far = a_target("near", others=9), a_target("far", local=False, others=4)
+        rng = random.Random(1)
+        small, large = remote_penalty(300.0), remote_penalty(8_000.0)
+        self.assertEqual("near", choose([near, far], (), rng, large).node)
+        near.others = 11
+        self.assertEqual("far", choose([near, far], (), rng, small).node)
+        self.assertEqual("near", choose([near, far], (), rng, large).node)
+
+    def test_largest_requests_still_leave_a_full_data_centre(self):
+        near, far = a_target("near", others=30), a_target("far", local=False)
+        rng = random.Random(1)
+        penalty = remote_penalty(50_000_000.0)
+        self.assertEqual("far", choose([near, far], (), rng, penalty).node)
+
     def test_server_that_fails_fast_does_not_attract(self):
         self.assertEqual(
             {"sound"},
