Link a node to a subset of each large service

Cause: every node linked to every other.

Ruled out: one connection for both directions of a pair halves as much and does not bound anything; kept for later.

Change: links.py keeps the first 10 nodes of a service in the own data centre and the first 6 elsewhere, by rendezvous rank, and further ones for those out of reach for 3 s; services of fewer nodes are linked whole, so the small sites link as before. The retry budget is shared among all known nodes, linked or not. Nodes list every 3 s, or 50 ms for each node, since a new one is told to its own subset only. A lost node is removed by whoever sees it, unless its data centre is out of reach as a whole, and once for each incarnation.

--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/links.py
@@ -0,0 +1,178 @@
+"""Links to other nodes: to all of a small service, to a subset of a large one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.routing.subset import rendezvous_rank
+from fuchsiagap_node.core.mesh.sending import Member, SendingLink
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+    import trio
+
+    from fuchsiagap.core.clock import Clock
+    from fuchsiagap_node.core.mesh.frames import Hello
+    from fuchsiagap_node.core.mesh.peers import Peers
+    from fuchsiagap_node.core.mesh.telling import Teller
+
+# Nodes of one service that a node keeps links to, in its own data centre and elsewhere.
+# Each restart opens every link anew at both ends, and each link is pinged: at 81 nodes
+# that are 46 links a node in place of 80.
+LOCAL_LINKS = 10
+REMOTE_LINKS = 6
+# Milliseconds out of reach after which a node no longer counts among these, and the
+# next one is linked too.
+_DOWN_MS = 3_000.0
+
+
+class Links:
+    """The nodes that are known, and links to those that requests may go to.
+
+    Parameters
+    ----------
+    own : Member
+        This node.
+    hello : Hello
+        What it says of itself on links.
+    peers : Peers
+        Doors; each link is one.
+    clock : Clock
+        Time in milliseconds.
+    teller : Teller
+        Logs.
+
+    Attributes
+    ----------
+    nursery : trio.Nursery or None
+        Holds the tasks of the links; None until the node serves.
+    on_link : callable
+        Told of each new link before it is opened.
+    """
+
+    def __init__(
+        self, own: Member, hello: Hello, peers: Peers, clock: Clock, teller: Teller
+    ) -> None:
+        self._own = own
+        self._hello = hello
+        self._peers = peers
+        self._clock = clock
+        self._tell = teller
+        self._known: dict[str, Member] = {}
+        self._links: dict[str, SendingLink] = {}
+        # Members by service and by whether they are near, in the order of choice.
+        self._ranked: dict[tuple[str, bool], list[Member]] = {}
+        self.nursery: trio.Nursery | None = None
+        self.on_link: Callable[[SendingLink], None] = _ignore
+
+    def __iter__(self) -> Iterator[SendingLink]:
+        return iter(list(self._links.values()))
+
+    def take_hello(self, hello: Hello) -> None:
+        """Learn of a node that has opened a link to this one."""
+        member = Member(
+            hello.node,
+            hello.incarnation,
+            hello.address,
+            hello.data_centre,
+            hello.service,
+        )
+        self.know([member])
+
+    def know(self, members: Iterable[Member]) -> None:
+        """Learn of nodes, and link those that belong to the subset."""
+        news = [m for m in members if self._is_news(m)]
+        for member in news:
+            self._drop_link(member.node)
+            self._known[member.node] = member
+            self._tell.event(
+                "node-known",
+                node=member.node,
+                service=member.service,
+                address=member.address,
+            )
+        if news:
+            self._rank()
+            self.choose()
+
+    def _is_news(self, member: Member) -> bool:
+        known = self._known.get(member.node)
+        if member.node == self._own.node or self.nursery is None:
+            return False
+        return known is None or (
+            (known.address, known.service) != (member.address, member.service)
+        )
+
+    def forget_unlisted(self, listed: Iterable[str], patience: float) -> None:
+        """Forget nodes that are not listed and were out of reach for a time."""
+        now = self._clock.now()
+        gone = []
+        for node in self._known.keys() - set(listed):
+            link = self._links.get(node)
+            if link is None or now - link.reached_at > patience:
+                gone.append(node)
+        for node in gone:
+            del self._known[node]
+            self._drop_link(node)
+            self._tell.event("node-gone", node=node)
+        if gone:
+            self._rank()
+            self.choose()
+
+    def _rank(self) -> None:
+        """Order the nodes of each service; the order differs from node to node."""
+        self._ranked = {}
+        own = self._own
+
+        def rank(member: Member) -> int:
+            return rendezvous_rank(own.node, member.node)
+
+        for member in sorted(self._known.values(), key=rank):
+            near = member.data_centre == own.data_centre
+            self._ranked.setdefault((member.service, near), []).append(member)
+        self._peers.n_nodes = len(self._known) + 1
+
+    def choose(self) -> None:
+        """Link the first nodes of each service, more where some are out of reach."""
+        wanted: set[str] = set()
+        for (_, near), members in self._ranked.items():
+            room = LOCAL_LINKS if near else REMOTE_LINKS
+            for member in members:
+                if room <= 0:
+                    break
+                wanted.add(member.node)
+                room -= self._is_up(self._link(member, near))
+        for node, link in list(self._links.items()):
+            if node not in wanted and link.is_unused():
+                self._drop_link(node)
+
+    def _is_up(self, link: SendingLink) -> bool:
+        return self._clock.now() - link.reached_at < _DOWN_MS
+
+    def _link(self, member: Member, near: bool) -> SendingLink:
+        """Return the link to a node; open it if there is none."""
+        link = self._links.get(member.node)
+        if link is None:
+            assert self.nursery is not None
+            link = SendingLink(member, self._hello, near, self._clock, self._tell)
+            self._links[member.node] = link
+            self.on_link(link)
+            self._peers.put(link)
+            self.nursery.start_soon(link.run)
+        return link
+
+    def _drop_link(self, node: str) -> None:
+        link = self._links.pop(node, None)
+        if link is not None:
+            link.scope.cancel()
+            self._peers.drop(node)
+
+    def look(self) -> None:
+        """Look at each link, whether its node is silent."""
+        for link in self._links.values():
+            link.look()
+
+
+def _ignore(_: object) -> None:
+    """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -1,4 +1,4 @@
-"""The other nodes, from the store and from their own links."""
+"""The other nodes, from the store."""
 
 from __future__ import annotations
 
@@ -7,24 +7,25 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
-from fuchsiagap_node.core.mesh.sending import Member, SendingLink
 from fuchsiagap_node.core.mesh.store import Members
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Mapping
+    from collections.abc import Mapping
 
     from fuchsiagap.core.clock import Clock, Milliseconds
-    from fuchsiagap_node.core.mesh.frames import Hello
-    from fuchsiagap_node.core.mesh.peers import Peers
+    from fuchsiagap_node.core.mesh.links import Links
+    from fuchsiagap_node.core.mesh.sending import Member
     from fuchsiagap_node.core.mesh.store import Store
     from fuchsiagap_node.core.mesh.telling import Teller
 
-# Milliseconds between two lists, give or take a fifth. A node that comes opens links to
-# the others itself, so lists are for what that misses; a list that may be some seconds
-# old is the cheapest call, where a watch is woken at each start of another node (39
-# calls a node in 38 s with 204 starts among 81 nodes, with those of the configuration).
-_LIST_MS = 10_000.0
+# Milliseconds between two lists, at least, and for each node that is listed; give or
+# take a fifth. A new node opens links to its own subset only; the others learn of it
+# here. A list that may be some seconds old is the cheapest call, where a watch is woken
+# at each start of another node (39 calls a node in 38 s with 204 starts among 81 nodes,
+# with those of the configuration). All nodes together list at most 20 times a second.
+_LIST_MS = 3_000.0
+_LIST_A_NODE_MS = 50.0
 _LIST_SPREAD = 0.2
 # Milliseconds for which a node that is not listed must have been out of reach before it
 # is forgotten; a list may be older than its announcement.
@@ -33,22 +34,23 @@
 # removed from the store. Chosen to be long against a restart, not measured; one that
 # was only cut off announces itself again.
 _LOST_MS = 60_000.0
+# Share of the nodes that see a lost one and remove it after one list; the others find
+# it removed at their next.
+_REMOVE_SHARE = 0.2
 # Milliseconds between two calls while the store fails, at first and at most.
 _RETRY_MS = 200.0
 _RETRY_MAX_MS = 1_500.0
 
 
 class MemberSync:
-    """Keeps a link to each node that requests may go to.
+    """Announces this node and follows the list of nodes.
 
     Parameters
     ----------
     own : Member
         This node.
-    hello : Hello
-        What it says of itself on links.
-    peers : Peers
-        Doors.
+    links : Links
+        Told which nodes there are.
     store : Store
         The platform's store.
     first_start : bool
@@ -57,125 +59,44 @@
     clock : Clock
         Time in milliseconds.
     rng : random.Random
-        Spreads the lists of the nodes.
-    removes_lost : callable
-        Returns whether this node is one of the few that remove lost nodes.
+        Spreads the lists of the nodes, and who removes a lost one.
     teller : Teller
         Logs.
-
-    Attributes
-    ----------
-    on_link : callable
-        Told of each new link before it is opened.
     """
 
     def __init__(
         self,
         own: Member,
-        hello: Hello,
-        peers: Peers,
+        links: Links,
         store: Store,
         first_start: bool,
         clock: Clock,
         rng: random.Random,
-        removes_lost: Callable[[], bool],
         teller: Teller,
     ) -> None:
         self._own = own
-        self._hello = hello
-        self._peers = peers
+        self._links = links
         self._store = store
         self._first_start = first_start
         self._clock = clock
         self._rng = rng
-        self._removes_lost = removes_lost
         self._tell = teller
-        self._links: dict[str, SendingLink] = {}
-        self.nursery: trio.Nursery | None = None
-        self.on_link: Callable[[SendingLink], None] = _ignore
-
-    def take_hello(self, hello: Hello) -> None:
-        """Learn of a node that has opened a link to this one."""
-        self._take(
-            Member(
-                hello.node,
-                hello.incarnation,
-                hello.address,
-                hello.data_centre,
-                hello.service,
-            )
-        )
-
-    def _take(self, member: Member) -> None:
-        if member.node == self._own.node or self.nursery is None:
-            return
-        link = self._links.get(member.node)
-        if link is not None:
-            same = (link.member.address, link.member.service)
-            if same == (member.address, member.service):
-                return
-            link.scope.cancel()
-        local = member.data_centre == self._own.data_centre
-        link = SendingLink(member, self._hello, local, self._clock, self._tell)
-        self._links[member.node] = link
-        self.on_link(link)
-        self._peers.put(link)
-        self._tell.event(
-            "node-known",
-            node=member.node,
-            service=member.service,
-            address=member.address,
-        )
-        self.nursery.start_soon(link.run)
-
-    def _forget(self, node: str) -> None:
-        link = self._links.pop(node, None)
-        if link is not None:
-            link.scope.cancel()
-            self._peers.drop(node)
-            self._tell.event("node-gone", node=node)
-
-    def _take_all(self, present: Mapping[str, Member]) -> None:
-        """Follow a list; nodes that were reached of late stay whatever it says."""
-        for member in present.values():
-            self._take(member)
-        now = self._clock.now()
-        for node, link in list(self._links.items()):
-            if node not in present and now - link.reached_at > _FORGET_MS:
-                self._forget(node)
-
-    def look(self) -> None:
-        """Look at each link, whether its node is silent."""
-        for link in self._links.values():
-            link.look()
+        self._removed: dict[str, str] = {}
 
     async def run(self) -> None:
         """Announce this node and follow the store until cancelled."""
         if self._first_start:
             await self._announce()
-        missing = not self._is_listed(await self._list(recent=True))
+        present = await self._list(recent=True)
         while True:
-            if missing:
+            if not self._is_listed(present):
                 await self._announce()
-                await self._list(recent=True)
+                present = await self._list(recent=True)
+            pause = max(_LIST_MS, len(present) * _LIST_A_NODE_MS)
             spread = 1.0 + _LIST_SPREAD * (2.0 * self._rng.random() - 1.0)
-            await trio.sleep(_LIST_MS * spread / MS_PER_S)
+            await trio.sleep(pause * spread / MS_PER_S)
             present = await self._list(recent=False)
-            missing = not self._is_listed(present)
-            if self._removes_lost():
-                await self._remove_lost(present)
-
-    async def _remove_lost(self, present: Mapping[str, Member]) -> None:
-        """Remove nodes from the store that have been out of reach for long."""
-        now = self._clock.now()
-        for node, link in list(self._links.items()):
-            out_of_reach = now - link.reached_at
-            if node not in present or out_of_reach < _LOST_MS:
-                continue
-            failed = await self._store.withdraw(node)
-            cause = None if failed is None else failed.reason
-            silent = round(out_of_reach)
-            self._tell.event("node-removed", node=node, silent=silent, cause=cause)
+            await self._remove_lost(present)
 
     def _is_listed(self, present: Mapping[str, Member]) -> bool:
         """Whether a list holds this node where it is now; else it is announced."""
@@ -186,6 +107,33 @@
             == (own.address, own.service, own.data_centre)
         )
 
+    async def _remove_lost(self, present: Mapping[str, Member]) -> None:
+        """Remove nodes from the store that are lost, not only cut off.
+
+        A data centre that is out of reach as a whole is cut off; and whoever was
+        removed and has announced itself again lives.
+        """
+        now = self._clock.now()
+        in_reach = {link.member.data_centre for link in self._links if link.is_up()}
+        in_reach.add(self._own.data_centre)
+        for link in self._links:
+            node = link.member.node
+            listed = present.get(node)
+            out_of_reach = now - link.reached_at
+            if (
+                listed is None
+                or out_of_reach < _LOST_MS
+                or link.member.data_centre not in in_reach
+                or self._removed.get(node) == listed.incarnation
+                or self._rng.random() > _REMOVE_SHARE
+            ):
+                continue
+            self._removed[node] = listed.incarnation
+            failed = await self._store.withdraw(node)
+            cause = None if failed is None else failed.reason
+            silent = round(out_of_reach)
+            self._tell.event("node-removed", node=node, silent=silent, cause=cause)
+
     async def _list(self, recent: bool) -> Mapping[str, Member]:
         """Follow a list of all nodes, however long it takes to get one."""
         wait: Milliseconds = _RETRY_MS
@@ -195,7 +143,8 @@
             if isinstance(result, Members):
                 if failing:
                     self._tell.event("store-regained", what="members")
-                self._take_all(result.present)
+                self._links.know(result.present.values())
+                self._links.forget_unlisted(result.present, _FORGET_MS)
                 return result.present
             if not failing:
                 self._tell.event("store-lost", what="members", cause=result.reason)
@@ -215,7 +164,3 @@
         failed = await self._store.withdraw(self._own.node)
         if failed is not None:
             self._tell.event("withdraw-failed", cause=failed.reason)
-
-
-def _ignore(_: object) -> None:
-    """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -28,6 +28,7 @@
     door_gauges,
     peer_gauges,
 )
+from fuchsiagap_node.core.mesh.links import Links
 from fuchsiagap_node.core.mesh.member_sync import MemberSync
 from fuchsiagap_node.core.mesh.outcome import LEAVING
 from fuchsiagap_node.core.mesh.own_door import OwnDoor
@@ -53,6 +54,8 @@
 
 # Milliseconds between two looks at whether the door's status is worth sending.
 _STATUS_MS = 250.0
+# Milliseconds between two looks at whether links to other nodes are needed.
+_CHOOSE_LINKS_MS = 1_000.0
 # Nodes of a data centre that notice first when the store is back: one may be down.
 _CLOSE_LOOKERS = 2
 # Steps of a server's load, from empty to full, that a status tells apart.
@@ -157,22 +160,15 @@
         hello = Hello(
             own.node, own.incarnation, own.address, own.data_centre, own.service
         )
+        self._links = Links(own, hello, self._peers, clock, tell)
+        self._links.on_link = self._prepare_link
         self._members = MemberSync(
-            own,
-            hello,
-            self._peers,
-            store,
-            cfg.first_start,
-            clock,
-            rng,
-            self._looks_closely,
-            tell,
+            own, self._links, store, cfg.first_start, clock, rng, tell
         )
-        self._members.on_link = self._prepare_link
         self._settings_fault = ""
         self._leaving = False
         self._taking = TakingLinks(hello, self.door, self._status, clock, tell)
-        self._taking.on_hello = self._members.take_hello
+        self._taking.on_hello = self._links.take_hello
         self._taking.config_text = self._config.text
         self._taking.below = below
         self.door.changed = self._tell_status
@@ -182,7 +178,8 @@
             (TICK_MS, self._placing.look),
             (STEP_MS, self._admission.step),
             (_STATUS_MS, self._tell_status),
-            (LINK_LOOK_MS, self._members.look),
+            (LINK_LOOK_MS, self._links.look),
+            (_CHOOSE_LINKS_MS, self._links.choose),
             (SWEEP_MS, self._callers.close_silent),
             (_SETTINGS_MS, self.check_settings),
         ):
@@ -243,7 +240,7 @@
         self.tell.event("started", service=cfg.service, data_centre=cfg.data_centre)
         async with trio.open_nursery() as nursery:
             self._config.nursery = nursery
-            self._members.nursery = nursery
+            self._links.nursery = nursery
             for work in (self.door.run, self._callers.run, self._ticker.run):
                 nursery.start_soon(work)
             at = cfg.addresses
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
@@ -29,9 +29,16 @@
 
 
 class Peers:
-    """Doors by service."""
+    """Doors by service.
+
+    Attributes
+    ----------
+    n_nodes : int
+        Nodes that are known, those without a door here and this one included.
+    """
 
     def __init__(self) -> None:
+        self.n_nodes = 1
         self._by_node: dict[str, Peer] = {}
         self._by_service: dict[str, dict[str, Peer]] = {}
 
@@ -55,10 +62,6 @@
         """Return the services that have doors, in order."""
         return sorted(name for name, doors in self._by_service.items() if doors)
 
-    def count(self) -> int:
-        """Return how many doors are known."""
-        return len(self._by_node)
-
     def reached(self) -> Iterator[Target]:
         """Return the backend servers whose nodes can be reached now."""
         return (p.target for p in self._by_node.values() if p.target.usable)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -243,7 +243,7 @@
         """Pay for one more arrival from the retry budget."""
         placing = self._placing
         makes_calls = placing.pressures.makes_calls(self._service, self._route.name)
-        return placing.budget(self._service).spend(placing.peers.count(), makes_calls)
+        return placing.budget(self._service).spend(placing.peers.n_nodes, makes_calls)
 
     def _answer(self, outcome: Answered) -> None:
         """Finish with the backend server's answer."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -120,6 +120,14 @@
         """When the node was last reached; at first, when it became known."""
         return self._reached_at if self._link is None else self._link.heard_at
 
+    def is_up(self) -> bool:
+        """Whether the node is linked and heard of."""
+        return self._link is not None and self.target.usable
+
+    def is_unused(self) -> bool:
+        """Whether no call waits for its reply."""
+        return not self._pending
+
     def send(self, call: Call, reply: OnReply) -> None:
         """Send a call; `reply` is told its outcome, once."""
         if self._link is None:
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_links.py
@@ -0,0 +1,80 @@
+"""Links to all nodes of a small service, and to a subset of a large one."""
+
+import trio
+from testtools import TestCase
+
+from fuchsiagap_node.core.mesh.links import LOCAL_LINKS, REMOTE_LINKS
+from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
+from fuchsiagap_standins.mesh.virtual import run_on_loopback
+
+READ = a_route("read")
+
+
+def linked(host):
+    """Return the nodes that a host's node has links to."""
+    return {link.member.node for link in host.node._links}
+
+
+class TestLinks(TestCase):
+    def test_small_services_are_linked_whole(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                near = deployment.add("bookings")
+                for n in range(REMOTE_LINKS):
+                    deployment.add("certs", "hall-b" if n % 2 else "hall-a")
+                await deployment.settle()
+                return linked(near)
+
+        self.assertEqual(REMOTE_LINKS, len(run_on_loopback(main)))
+
+    def test_large_services_are_linked_in_part_and_each_server_is_reached(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                callers = [deployment.add("bookings", "hall-c") for _ in range(6)]
+                for n in range(16):
+                    deployment.add("certs", "hall-c" if n < 12 else "hall-b")
+                await deployment.settle()
+                certs = [
+                    {node for node in linked(caller) if node.startswith("certs")}
+                    for caller in callers
+                ]
+                answers = [
+                    await c.send("/read/1", f"r{n}") for n, c in enumerate(callers)
+                ]
+                return certs, answers
+
+        certs, answers = run_on_loopback(main)
+        self.assertEqual({LOCAL_LINKS + 4}, {len(nodes) for nodes in certs})
+        self.assertEqual(16, len(set().union(*certs)))
+        self.assertEqual([200] * 6, [answer.status for answer in answers])
+
+    def test_node_out_of_reach_is_replaced_and_taken_back(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                near = deployment.add("bookings", "hall-a")
+                far = [deployment.add("certs", "hall-b") for _ in range(9)]
+                await deployment.settle()
+                before = linked(near)
+                lost = [host for host in far if host.node.cfg.node in before][:2]
+                for host in lost:
+                    host.scope.cancel()
+                await trio.sleep(8.0)
+                names = {host.node.cfg.node for host in lost}
+                up = {link.member.node for link in near.node._links if link.is_up()}
+                return before, names, up
+
+        before, names, up = run_on_loopback(main)
+        self.assertEqual(REMOTE_LINKS, len(before))
+        self.assertEqual(REMOTE_LINKS, len(up))
+        self.assertTrue(names.isdisjoint(up))
+
+    def test_all_nodes_share_the_retry_budget_linked_or_not(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                near = deployment.add("bookings")
+                for _ in range(14):
+                    deployment.add("certs")
+                await deployment.settle()
+                return near.node._peers.n_nodes, len(linked(near))
+
+        self.assertEqual((15, LOCAL_LINKS), run_on_loopback(main))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_member_sync.py
@@ -95,3 +95,32 @@
         self.assertEqual({"bookings-0", "certs-1"}, early)
         self.assertEqual({"bookings-0"}, late)
         self.assertEqual(1, counts["events", "node-gone"])
+
+    def test_data_centre_that_is_cut_off_is_not_removed(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                deployment.add("bookings")
+                far = [deployment.add("certs", "hall-b") for _ in range(2)]
+                await deployment.settle()
+                for host in far:
+                    host.scope.cancel()
+                await trio.sleep(100.0)
+                return set(deployment.state.members)
+
+        self.assertEqual({"bookings-0", "certs-1", "certs-2"}, run_on_loopback(main))
+
+    def test_node_that_came_back_is_not_removed_again(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                deployment.add("bookings")
+                far = deployment.add("certs")
+                await deployment.settle()
+                member = deployment.state.members["certs-1"]
+                far.scope.cancel()
+                await trio.sleep(100.0)
+                removed = "certs-1" not in deployment.state.members
+                deployment.state.members["certs-1"] = member
+                await trio.sleep(60.0)
+                return removed, "certs-1" in deployment.state.members
+
+        self.assertEqual((True, True), run_on_loopback(main))
