Give settings sync and the planned stop folders of their own

core/ of the node held 16 files beside its folders; five of them were one subsystem by their prefix, and the stop's hand-over stood under callpath. Moved, with their tests; no logic changed.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/callpath/handover.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/drain/handover.py
@@ -6,7 +6,7 @@
 
 See Also
 --------
-fuchsiagap_node.core.callpath.takeover : The successor's side.
+fuchsiagap_node.core.drain.takeover : The successor's side.
 """
 
 from __future__ import annotations
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/drain.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/drain/stopping.py
@@ -11,7 +11,7 @@
 from fuchsiagap.core.clock import MS_PER_S, sleep_ms
 from fuchsiagap.core.membership.member import Member, MemberState
 from fuchsiagap.core.telemetry.events import EventKind
-from fuchsiagap_node.core.callpath.handover import HandedOver, hand_over
+from fuchsiagap_node.core.drain.handover import HandedOver, hand_over
 from fuchsiagap_node.core.gossip import neighbours
 from fuchsiagap_node.core.wire.messages_gossip import Leaving
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/callpath/takeover.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/drain/takeover.py
@@ -2,7 +2,7 @@
 
 See Also
 --------
-fuchsiagap_node.core.callpath.handover : The stopping node's side.
+fuchsiagap_node.core.drain.handover : The stopping node's side.
 """
 
 from __future__ import annotations
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/admin_node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/admin_node.py
@@ -23,7 +23,7 @@
 )
 from fuchsiagap_node.core.edges.admin_status import node_status
 from fuchsiagap_node.core.edges.metrics_text import CONTENT_TYPE, metrics_text
-from fuchsiagap_node.core.settings_write import holder_here, is_operators
+from fuchsiagap_node.core.settings.write import holder_here, is_operators
 
 if TYPE_CHECKING:
     from quart_trio import QuartTrio
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/admin_settings.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/admin_settings.py
@@ -17,7 +17,6 @@
     is_change_id,
     read_stored,
 )
-from fuchsiagap_node.core import settings_watch
 from fuchsiagap_node.core.edges.admin_reply import (
     UNAUTHORIZED,
     AdminError,
@@ -29,7 +28,8 @@
     not_found,
 )
 from fuchsiagap_node.core.ports import Missing, PlatformUnavailable
-from fuchsiagap_node.core.settings_write import (
+from fuchsiagap_node.core.settings import watch
+from fuchsiagap_node.core.settings.write import (
     Accepted,
     Conflict,
     Forbidden,
@@ -158,7 +158,7 @@
     found = await state.platform.get(settings_path(team))
     if isinstance(found, PlatformUnavailable):
         return _unavailable(Unavailable(found.detail))
-    return None if isinstance(found, Missing) else settings_watch.text_of(found)
+    return None if isinstance(found, Missing) else watch.text_of(found)
 
 
 async def _body_text() -> str | AdminError:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/node.py
@@ -18,11 +18,14 @@
 from fuchsiagap.core.telemetry.telemetry import make_telemetry
 from fuchsiagap.core.telemetry.violations import Invariant
 from fuchsiagap.core.tickets.tickets import Tickets
-from fuchsiagap_node.core import drain, gossip, settings_sync, state_events
-from fuchsiagap_node.core.callpath import home, home_tickets, relay, serve, takeover
+from fuchsiagap_node.core import gossip, state_events
+from fuchsiagap_node.core.callpath import home, home_tickets, relay, serve
+from fuchsiagap_node.core.drain import stopping as drain
+from fuchsiagap_node.core.drain import takeover
 from fuchsiagap_node.core.peers.handlers import Handlers
 from fuchsiagap_node.core.peers.links import LinkPeers, LinkSettings
 from fuchsiagap_node.core.peers.wiring import make_wire
+from fuchsiagap_node.core.settings import sync as settings_sync
 from fuchsiagap_node.core.state import NodeState
 from fuchsiagap_node.core.wire.messages_call import Hello
 
@@ -108,7 +111,7 @@
 
     See Also
     --------
-    fuchsiagap_node.core.drain.drain : The graceful shutdown.
+    fuchsiagap_node.core.drain.stopping.drain : The graceful shutdown.
     """
     async with trio.open_nursery() as nursery:
         state = make_state(cfg, ports, nursery)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/settings_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/settings/sync.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from fuchsiagap_node.core import settings_spread, settings_watch
+from fuchsiagap_node.core.settings import spread, watch
 
 if TYPE_CHECKING:
     from fuchsiagap_node.core.state import NodeState
@@ -20,8 +20,8 @@
     state : NodeState
         The node.
     """
-    settings_spread.register(state)
-    settings_watch.register(state)
+    spread.register(state)
+    watch.register(state)
 
 
 async def run(state: NodeState) -> None:
@@ -33,8 +33,8 @@
         The node, with its links up.
     """
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(settings_watch.bootstrap, state)
-        nursery.start_soon(settings_watch.keep_watching, state)
-        nursery.start_soon(settings_watch.keep_deputy, state)
-        nursery.start_soon(settings_spread.pass_news_on, state)
-        nursery.start_soon(settings_spread.keep_comparing, state)
+        nursery.start_soon(watch.bootstrap, state)
+        nursery.start_soon(watch.keep_watching, state)
+        nursery.start_soon(watch.keep_deputy, state)
+        nursery.start_soon(spread.pass_news_on, state)
+        nursery.start_soon(spread.keep_comparing, state)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/settings_watch.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/settings/watch.py
@@ -17,8 +17,8 @@
 from fuchsiagap.core.settings.record import read_stored
 from fuchsiagap.core.telemetry.events import EventKind
 from fuchsiagap.core.telemetry.metrics import Counter, Gauge
-from fuchsiagap_node.core import settings_spread
 from fuchsiagap_node.core.ports import PlatformUnavailable, StoredObject
+from fuchsiagap_node.core.settings import spread
 from fuchsiagap_node.core.wire.messages_settings import WatchForMe, WatchReply
 
 if TYPE_CHECKING:
@@ -78,7 +78,7 @@
 def take_objects(state: NodeState, objects: tuple[StoredObject, ...]) -> None:
     """Offer objects of the platform to the book."""
     texts = [text_of(stored) for stored in objects if team_of(stored.path)]
-    settings_spread.take(state, texts, SOURCE)
+    spread.take(state, texts, SOURCE)
 
 
 def relays(state: NodeState) -> tuple[str, ...]:
@@ -143,9 +143,9 @@
     patience = BOOTSTRAP_PATIENCE * state.rng.uniform(1.0, 2.0)
     started = state.clock.now()
     while not standing.complete:
-        contact = settings_spread.random_contact(state)
+        contact = spread.random_contact(state)
         if contact is not None:
-            await settings_spread.compare(state, *contact)
+            await spread.compare(state, *contact)
         if standing.complete:
             return
         is_relay = state.node in relays(state)
@@ -188,7 +188,7 @@
     if isinstance(found, PlatformUnavailable):
         return None
     take_objects(state, found)
-    settings_spread.set_complete(state)
+    spread.set_complete(state)
     return max((stored.version for stored in found), default=0)
 
 
@@ -230,7 +230,7 @@
 
 
 async def _ask_deputy(state: NodeState, deputy: Member) -> bool:
-    limit = DEPUTY_PATIENCE + settings_spread.PEER_TIMEOUT
+    limit = DEPUTY_PATIENCE + spread.PEER_TIMEOUT
     with trio.move_on_after(limit / MS_PER_S):
         reply = await state.peers.ask(deputy.address, WatchForMe())
         return isinstance(reply, WatchReply) and reply.watching
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/settings_write.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/settings/write.py
@@ -27,7 +27,6 @@
 from fuchsiagap.core.settings.tokens import holder_of, is_token
 from fuchsiagap.core.telemetry.events import EventKind
 from fuchsiagap.core.telemetry.metrics import Counter
-from fuchsiagap_node.core import settings_watch
 from fuchsiagap_node.core.ports import (
     Conflict as PlatformConflict,
 )
@@ -36,7 +35,8 @@
     PlatformUnavailable,
     StoredObject,
 )
-from fuchsiagap_node.core.settings_outcome import (
+from fuchsiagap_node.core.settings import watch
+from fuchsiagap_node.core.settings.outcome import (
     Accepted,
     Conflict,
     Forbidden,
@@ -247,7 +247,7 @@
         state.telemetry.metrics.count(Counter.PLATFORM_CALLS, "settings-put")
         result = await state.platform.put(path, value, version)
         if isinstance(result, StoredObject):
-            settings_watch.take_objects(state, (result,))
+            watch.take_objects(state, (result,))
             return Accepted(change.team, result.version, result.version)
         if isinstance(result, PlatformConflict):
             settled = _settle_conflict(state, change, result.current, version)
@@ -271,7 +271,7 @@
     if current is None:
         # There was an object, and the platform has forgotten it and its version.
         return Unavailable("the platform lost the object that was to be replaced")
-    settings_watch.take_objects(state, (current,))
+    watch.take_objects(state, (current,))
     return _made(change, current) or _conflict(change, current, replaced)
 
 
@@ -298,7 +298,7 @@
 
 
 def _read(current: StoredObject) -> StoredText:
-    return read_stored(settings_watch.text_of(current).text)
+    return read_stored(watch.text_of(current).text)
 
 
 def _holder_there(
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/callpath/test_handover.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/drain/test_handover.py
@@ -8,14 +8,14 @@
 
 from fuchsiagap.core.calls.outcome import Answered, Outcome, Reason, Refused, Unknown
 from fuchsiagap.core.tickets.settings import TicketSettings
-from fuchsiagap_node.core.callpath import takeover
-from fuchsiagap_node.core.callpath.handover import (
+from fuchsiagap_node.core.callpath.home import at_home
+from fuchsiagap_node.core.callpath.home_tickets import settle_ticket
+from fuchsiagap_node.core.drain import takeover
+from fuchsiagap_node.core.drain.handover import (
     HandedOver,
     HandOverFailed,
     hand_over,
 )
-from fuchsiagap_node.core.callpath.home import at_home
-from fuchsiagap_node.core.callpath.home_tickets import settle_ticket
 from fuchsiagap_node.core.wire.messages_ticket import (
     HandOverBegin,
     HandOverEnd,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/test_settings_random.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/settings/test_random.py
@@ -11,7 +11,7 @@
 
 from fuchsiagap.core.settings.record import read_stored
 from fuchsiagap.core.telemetry.metrics import Counter
-from fuchsiagap_node.core.settings_write import (
+from fuchsiagap_node.core.settings.write import (
     Accepted,
     Conflict,
     Unavailable,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/test_settings_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/settings/test_sync.py
@@ -9,9 +9,9 @@
 from fuchsiagap.core.settings.model import TeamText
 from fuchsiagap.core.telemetry.metrics import Counter
 from fuchsiagap.core.telemetry.violations import Invariant
-from fuchsiagap_node.core import settings_spread, settings_watch
 from fuchsiagap_node.core.ports import StoredObject
-from fuchsiagap_node.core.settings_write import Accepted, delete_settings, put_settings
+from fuchsiagap_node.core.settings import spread, watch
+from fuchsiagap_node.core.settings.write import Accepted, delete_settings, put_settings
 from fuchsiagap_node.core.wire.messages_settings import SettingsNews
 from fuchsiagap_standins.platform import PlatformFaults
 from fuchsiagap_standins.settings_nodes import (
@@ -112,12 +112,12 @@
             await trio.sleep(5)
             for hall in HALLS:
                 n = sum(s.book.standing.watching for s in fleet.of(hall))
-                self.assertEqual(settings_watch.N_RELAYS, n)
+                self.assertEqual(watch.N_RELAYS, n)
             before = fleet.store.counts
             await trio.sleep(30)
             after = fleet.store.counts
             # One call per watch and turn; none for the nodes that do not watch.
-            turns = 30 / 30 * settings_watch.N_RELAYS * len(HALLS)
+            turns = 30 / 30 * watch.N_RELAYS * len(HALLS)
             self.assertLessEqual(after.watches - before.watches, turns + 6)
 
         self.run_fleet(2, main)
@@ -231,7 +231,7 @@
             version = await change(states[0], 2)
             await fleet.until(lambda: fleet.in_force(TEAM, version))
             stale = [TeamText(TEAM, version - 1, a_text(9))]
-            settings_spread.take(states[1], stale, "certs-b0")
+            spread.take(states[1], stale, "certs-b0")
             liar = states[0]
             # News of a version that its sender cannot show changes nothing either.
             news = SettingsNews(((TEAM, version + 100),))
@@ -304,11 +304,11 @@
             await self.ready(fleet)
             await change(node, 1)
             version = await change(node, 2)
-            settings_spread.take(node, [TeamText(TEAM, version, "")], "certs-liar")
+            spread.take(node, [TeamText(TEAM, version, "")], "certs-liar")
             held = node.book.text(TEAM)
             assert held is not None
             node.book._held[TEAM].text = TeamText(TEAM, version - 1, held.text)
-            settings_spread._check_invariants(node, held, held)
+            spread._check_invariants(node, held, held)
             violations = node.telemetry.metrics.counted(
                 Counter.VIOLATIONS, Invariant.VERSION_WENT_BACK
             )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/test_settings_write.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/settings/test_write.py
@@ -10,7 +10,7 @@
 from fuchsiagap.core.settings.record import MAX_RECORDS, read_stored
 from fuchsiagap.core.settings.tokens import digest_of
 from fuchsiagap_node.core.ports import Missing, StoredObject
-from fuchsiagap_node.core.settings_write import (
+from fuchsiagap_node.core.settings.write import (
     Accepted,
     Conflict,
     Forbidden,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/test_node_notes.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/test_node_notes.py
@@ -11,9 +11,9 @@
 from fuchsiagap.core.telemetry.events import EventKind
 from fuchsiagap.core.telemetry.metrics import Counter, Measure
 from fuchsiagap.core.telemetry.violations import Invariant
-from fuchsiagap_node.core import drain
 from fuchsiagap_node.core import node as node_module
 from fuchsiagap_node.core.callpath.entry import CallRequest, enter
+from fuchsiagap_node.core.drain import stopping as drain
 from fuchsiagap_standins.graphs import load_graph
 from fuchsiagap_standins.node_fleet import open_node_fleet
 from fuchsiagap_standins.testing import run_virtual
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/breaks.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/breaks.py
@@ -17,8 +17,9 @@
 from fuchsiagap.core.tickets.records import Burnt, Forgotten
 from fuchsiagap.core.tickets.tickets import Tickets
 from fuchsiagap.core.tickets.window import TicketWindow
-from fuchsiagap_node.core import drain, node
+from fuchsiagap_node.core import node
 from fuchsiagap_node.core.callpath import attempts, dispatch
+from fuchsiagap_node.core.drain import stopping as drain
 from fuchsiagap_node.core.peers.conn import PeerConn
 from fuchsiagap_standins.bench.faults import checks
 
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/operators.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/faults/operators.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from fuchsiagap_node.core.settings_write import (
+from fuchsiagap_node.core.settings.write import (
     Accepted,
     Unsettled,
     delete_settings,
@@ -22,7 +22,7 @@
 )
 
 if TYPE_CHECKING:
-    from fuchsiagap_node.core.settings_write import WriteResult
+    from fuchsiagap_node.core.settings.write import WriteResult
     from fuchsiagap_node.core.state import NodeState
     from fuchsiagap_standins.bench.faults.fleet import Fleet
 
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/settings.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/settings.py
@@ -26,7 +26,7 @@
 from fuchsiagap.core.settings.model import SETTINGS_PREFIX, TeamText
 from fuchsiagap.core.settings.parse import parse_team
 from fuchsiagap_node.core.ports import StoredObject
-from fuchsiagap_node.core.settings_write import Accepted, put_settings
+from fuchsiagap_node.core.settings.write import Accepted, put_settings
 from fuchsiagap_standins.settings_nodes import (
     OPERATORS_TOKEN,
     SettingsFleet,
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/tickets.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/bench/tickets.py
@@ -28,8 +28,8 @@
 from fuchsiagap.core.tickets.records import Start
 from fuchsiagap.core.tickets.settings import TicketSettings
 from fuchsiagap.core.tickets.window import TicketWindow
-from fuchsiagap_node.core.callpath.handover import HandedOver, hand_over
 from fuchsiagap_node.core.callpath.home import at_home
+from fuchsiagap_node.core.drain.handover import HandedOver, hand_over
 from fuchsiagap_standins.builders import an_issue_head
 from fuchsiagap_standins.programs import new_flags
 from fuchsiagap_standins.ticket_nodes import Backends, TicketNet
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/members.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/members.py
@@ -28,8 +28,9 @@
 from fuchsiagap.core.membership.member import Member, MemberState
 from fuchsiagap.core.membership.settings import MembershipSettings
 from fuchsiagap.core.membership.table import Membership
-from fuchsiagap_node.core import drain, gossip
+from fuchsiagap_node.core import gossip
 from fuchsiagap_node.core.config import PeersConfig
+from fuchsiagap_node.core.drain import stopping as drain
 from fuchsiagap_node.core.peers.handlers import Handlers
 from fuchsiagap_node.core.peers.links import LinkPeers, LinkSettings
 from fuchsiagap_node.core.ports import DialFailed, LinkClosed
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/settings_nodes.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/settings_nodes.py
@@ -24,10 +24,11 @@
 
 import trio
 
-from fuchsiagap_node.core import gossip, settings_sync
+from fuchsiagap_node.core import gossip
 from fuchsiagap_node.core.node import make_state
 from fuchsiagap_node.core.peers.links import LinkPeers
-from fuchsiagap_node.core.settings_write import put_settings
+from fuchsiagap_node.core.settings import sync as settings_sync
+from fuchsiagap_node.core.settings.write import put_settings
 from fuchsiagap_node.core.wire import messages_settings
 from fuchsiagap_node.core.wire.codec import encode
 from fuchsiagap_standins.memory_nodes import (
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/ticket_faults.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/ticket_faults.py
@@ -14,8 +14,8 @@
 
 from fuchsiagap.core.calls.outcome import Answered, Outcome, Reason, Refused
 from fuchsiagap.core.tickets.settings import TicketSettings
-from fuchsiagap_node.core.callpath.handover import HandedOver, hand_over
 from fuchsiagap_node.core.callpath.home_tickets import issue_batch, settle_ticket
+from fuchsiagap_node.core.drain.handover import HandedOver, hand_over
 from fuchsiagap_standins.builders import a_refusal, an_issue_head, an_unknown
 from fuchsiagap_standins.testing import run_virtual
 from fuchsiagap_standins.ticket_nodes import Backends, TicketNet
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/ticket_nodes.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/ticket_nodes.py
@@ -18,9 +18,10 @@
 from fuchsiagap.core.telemetry.telemetry import TelemetrySettings, make_telemetry
 from fuchsiagap.core.tickets.settings import TicketSettings
 from fuchsiagap.core.tickets.tickets import Tickets
-from fuchsiagap_node.core.callpath import home, home_tickets, takeover
+from fuchsiagap_node.core.callpath import home, home_tickets
 from fuchsiagap_node.core.callpath.home import at_home
 from fuchsiagap_node.core.callpath.home_of import HomeAt, HomeHere, home_of, relayed
+from fuchsiagap_node.core.drain import takeover
 from fuchsiagap_node.core.peers.handlers import Handlers
 from fuchsiagap_node.core.ports import LinkLost
 from fuchsiagap_node.core.wire import codec
