End a call at the door once, whatever ends it

Change: a call that is no longer at the server is not broken off. The new test failed first (places in use -1). And no 100 Continue is sent while answers to requests before it are still to come.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -211,7 +211,8 @@
         for req in requests:
             if not self._ended:
                 self._start(req)
-        if self._reader.wants_continue and self._reader.midway:
+        if self._reader.wants_continue and self._reader.midway and not self._open:
+            # Not amid the answers to requests before it, which may be sent in parts.
             self._reader.wants_continue = False
             await self.stream.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         while len(self._open) >= _PIPELINED:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -244,6 +244,9 @@
 
     def _break_off(self, job: Job, outcome: MayHaveRun) -> None:
         """End a call at the server; closing its connection tells the server so."""
+        if job not in self._at_server:
+            # The reply to another one has ended it, as where a caller leaves with all.
+            return
         conn = job.conn
         if conn is not None:
             conn.call = None
