--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -14,6 +14,7 @@
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
 from fuchsiagap_node.core.mesh.http_request import RequestReader
 from fuchsiagap_node.core.mesh.stream import BrokenStream, accept_all, listen
+from fuchsiagap_standins.mesh.serving import serve_requests
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -109,14 +110,7 @@
         # It reads every header as it came, so that tests see those of the node.
         plain = HeaderNames(deadline=b"-", target=b"-", caller=b"-")
         reader = RequestReader(plain, CallerLimits())
-        try:
-            while data := await stream.receive():
-                for req in reader.feed(data):
-                    await self._answer(stream, req)
-        except BrokenStream:
-            pass
-        finally:
-            stream.close()
+        await serve_requests(stream, reader, self._answer)
 
     async def _answer(self, stream: Stream, req: Request) -> None:
         self.heads.append(req)
