Explain a failure by what changed before it

It now names the latest change of each thing before the request's last line, four at most. The new test failed first.

--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/story.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/story.py
@@ -13,6 +13,8 @@
 # Milliseconds before and after a request's own lines in which changes of state are
 # looked at: the longest time until a silent link is given up, and some.
 _AROUND_MS = 4_000.0
+# Changes that are named as likely causes at most.
+_MOST_CHANGES = 4
 # Changes of state that may decide what becomes of a request.
 _STATE_EVENTS = frozenset(
     {
@@ -135,7 +137,26 @@
     failed = [call for call in calls if call.event == "given-up"]
     if failed:
         words.append(f"a call made for it ended before: {failed[0].text()}")
-    changes = [change for change in around if change.event != "admission-changed"]
-    if changes:
-        words.append(f"at that time: {changes[-1].text()}")
+    words += [f"before it: {change.text()}" for change in _last_before(line, around)]
     return "; ".join(words)
+
+
+def _last_before(line: Line, around: list[Line]) -> list[Line]:
+    """Return what last changed before a line, once for each thing that changed.
+
+    What a node wrote later cannot be a cause; its own clock decides, since the time of
+    day may jump.
+    """
+    before = [
+        change
+        for change in around
+        if change.event != "admission-changed"
+        and (change.at <= line.at if change.node == line.node else True)
+        and (change.wall <= line.wall or change.node == line.node)
+    ]
+    latest: dict[tuple[str, str], Line] = {}
+    for change in sorted(before, key=lambda change: change.wall):
+        about = str(change.fields.get("to", change.fields.get("node", "")))
+        latest.pop((change.event, about), None)
+        latest[change.event, about] = change
+    return list(latest.values())[-_MOST_CHANGES:]
--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
@@ -76,6 +76,21 @@
         self.assertIn("0.4 of its rank", story.cause)
         self.assertIn("fullness=1.2", story.cause)
 
+    def test_causes_are_what_changed_before_the_end_and_not_after(self):
+        lines = [
+            _line(1_000, "link-down", to="n-2"),
+            _line(1_100, "link-down", to="n-2"),
+            _line(1_200, "link-down", to="n-3"),
+            _line(1_300, "backend-changed", state="draining"),
+            _line(2_000, "given-up", "r1", cause="no backend server", ran=False),
+            _line(2_500, "backend-changed", state="ready"),
+        ]
+        cause = tell(read_lines(lines).lines, "r1").cause
+        self.assertNotIn("state=ready", cause)
+        for word in ("1100 n-1 link-down to=n-2", "link-down to=n-3", "draining"):
+            self.assertIn(word, cause)
+        self.assertNotIn("1000 n-1", cause)
+
     def test_call_below_is_found_by_its_identifier(self):
         lines = [
             _line(1_000, "given-up", "r1.a", cause="queue full", ran=False),
