Answer a request whose step fails, whoever runs the step

An exception in a step that the ticker runs left its request without an answer and failed again each 50 ms; one in the first step left it among those in progress for ever. Each step is guarded now; the new test failed first on both. A line given-up names the backend servers that were tried.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -152,10 +152,9 @@
 class _Exchange:
     """A request of a connection, and its final answer once there is one."""
 
-    __slots__ = ("closes", "final", "is_head", "placement", "request_id")
+    __slots__ = ("closes", "final", "is_head", "placement")
 
     def __init__(self, req: Request | None = None) -> None:
-        self.request_id = "" if req is None else req.request_id
         self.is_head = req is not None and req.method == b"HEAD"
         self.closes = req is None or not req.keep_alive
         self.placement: Placement | None = None
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -122,7 +122,10 @@
         if self._parent is not None and self._parent.repeated:
             budget.charge()
         self._placing.in_progress[self] = None
-        self._place()
+        try:
+            self._place()
+        except Exception as exc:
+            self._fail(exc)
 
     def cancel(self) -> None:
         """Give the request up: its caller has left."""
@@ -137,11 +140,19 @@
 
     def wake(self) -> None:
         """Give up an overdue reply, or look again for a backend server."""
-        if self._call is None:
-            self._place()
-            return
-        self._withdraw()
-        self._take_outcome(MayHaveRun(EXPIRED))
+        try:
+            if self._call is None:
+                self._place()
+                return
+            self._withdraw()
+            self._take_outcome(MayHaveRun(EXPIRED))
+        except Exception as exc:
+            self._fail(exc)
+
+    def _fail(self, exc: Exception) -> None:
+        """Answer a request whose step ended by an exception nobody expected."""
+        self._placing.tell.fault("placement", exc)
+        self._finish(Final(502))
 
     def _place(self) -> None:
         """Send the request to the next backend server, if there is one."""
@@ -204,8 +215,7 @@
                 self._tried.append(peer.target.instance)
             self._take_outcome(outcome)
         except Exception as exc:
-            self._placing.tell.fault("placement", exc)
-            self._finish(Final(502))
+            self._fail(exc)
 
     def _take_outcome(self, outcome: Outcome) -> None:
         """Finish with an outcome, or go on to another backend server."""
@@ -275,6 +285,7 @@
             cause=last.reason if not isinstance(last, Answered) else last.status,
             arrivals=self._arrivals,
             placements=self._placements,
+            tried=self._tried,
             took=self._took(),
         )
         if isinstance(last, Answered):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_path.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_path.py
@@ -287,3 +287,35 @@
         self.assertEqual("r1", mine.request_id)
         self.assertIsNone(others)
         self.assertIsNone(itself)
+
+    def test_exception_amid_a_request_is_answered_and_ends_nothing_else(self):
+        async def main():
+            async with a_deployment(a_route("read", timeout=300.0)) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                placing = host.node._placing
+                choose = placing.choose
+
+                def fail(*_):
+                    raise KeyError("planted")
+
+                placing.choose = fail
+                at_once = await host.send("/read/1", "r1")
+                placing.choose = lambda *_: None
+                async with trio.open_nursery() as nursery:
+                    answers = []
+
+                    async def later():
+                        answers.append(await host.send("/read/2", "r2"))
+
+                    nursery.start_soon(later)
+                    await trio.sleep(0.02)
+                    placing.choose = fail
+                placing.choose = choose
+                after = await host.send("/read/3", "r3")
+                return at_once, answers[0], after, placing.in_progress
+
+        at_once, later, after, in_progress = run_on_loopback(main)
+        statuses = [answer.status for answer in (at_once, later, after)]
+        self.assertEqual([502, 502, 200], statuses)
+        self.assertEqual({}, in_progress)
