Take signals until the end of a planned stop

The receiver of signals was closed with the first SIGTERM, so the system's default took over, for SIGHUP too: a change of the settings file amid a restart cut whatever was in progress.

Ruled out: the kill at the end of the grace; it was 0.6 s away.

Change: the receiver stays open until the process ends; SIGHUP reads the settings also then, and a further SIGTERM is logged. The new test, with a real process, failed first (killed by SIGHUP).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -44,7 +44,7 @@
 from fuchsiagap_node.core.mesh.ticker import TICK_MS, Ticker
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.door.incarnation import BackendReport
@@ -52,6 +52,7 @@
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.store import Store, StoredConfig
 
+_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # Milliseconds between two looks at whether the door's status is worth sending.
 _STATUS_MS = 250.0
 # Milliseconds between two looks at whether links to other nodes are needed.
@@ -223,15 +224,20 @@
         """Serve until SIGTERM, then stop without cutting anything."""
         gc.set_threshold(_GC_YOUNG, 20, 50)
         gc.freeze()
-        async with trio.open_nursery() as nursery:
-            self.tell.never_wait()
-            self._ticker.every(FLUSH_MS, self.tell.flush)
-            nursery.start_soon(self.serve)
-            await self._wait_for_stop()
-            await self.stop()
-            nursery.cancel_scope.cancel()
-        self.tell.event("stopped")
-        self.tell.flush()
+        # Until the end: a signal without a receiver ends the process at once, also in
+        # the midst of a planned stop.
+        with trio.open_signal_receiver(*_SIGNALS) as signals:
+            async with trio.open_nursery() as nursery:
+                self.tell.never_wait()
+                self._ticker.every(FLUSH_MS, self.tell.flush)
+                asked = trio.Event()
+                nursery.start_soon(self._take_signals, signals, asked)
+                nursery.start_soon(self.serve)
+                await asked.wait()
+                await self.stop()
+                nursery.cancel_scope.cancel()
+            self.tell.event("stopped")
+            self.tell.flush()
 
     async def serve(self) -> None:
         """Serve until cancelled."""
@@ -298,15 +304,16 @@
         )
         return Final(200, headers=kind, body=self.tell.metrics(gauges).encode())
 
-    async def _wait_for_stop(self) -> None:
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                if number != signal.SIGHUP:
-                    self.tell.event("stopping", signal=number)
-                    return
+    async def _take_signals(
+        self, signals: AsyncIterator[int], asked: trio.Event
+    ) -> None:
+        """Read the settings at SIGHUP, and note that a stop is asked for."""
+        async for number in signals:
+            if number == signal.SIGHUP:
                 self.check_settings()
+                continue
+            self.tell.event("stopping", signal=number, again=asked.is_set())
+            asked.set()
 
     def check_settings(self) -> None:
         """Adopt settings that have changed; addresses and names need a new start."""
