--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -17,18 +17,13 @@
 
 # Milliseconds between two steps of the levels: a few within one reaction time.
 STEP_MS = 100.0
-# Milliseconds after which a refused caller may come back, at least and at most; in
-# between it follows the share that is refused.
-_RETRY_AFTER_MS = (300.0, 1_500.0)
-
-
-# Share of the longest wait of a route below which a request has been here before: its
-# caller has spent the rest on an earlier attempt.
-_CAME_BACK = 0.97
-# How much faster the share of those that came back falls than that of new ones. Whoever
-# was refused once is refused again while load is shed: each let in would be paid for by
-# a new request, that would then be served late, or not at all.
-_CAME_BACK_FALL = 3.0
+# Shares of a route's latency objective after which a refused caller may come back, at
+# least and at most: its answer counts from its first attempt, so one that is let in
+# then can still be in time. Spread, so that those refused together do not come
+# together.
+_RETRY_AFTER_SHARES = (0.2, 0.4)
+# Milliseconds that a refused caller stays away at least.
+_LEAST_RETRY_AFTER_MS = 40.0
 
 
 class Admission:
@@ -56,17 +51,7 @@
         self._levels: dict[tuple[str, str], RefusalLevel] = {}
         self._steps_from_worst: dict[str, int] = {}
         self._stepped_at = clock.now()
-        self._longest: dict[str, Milliseconds] = {}
-        self._credit: dict[tuple[str, bool], float] = {}
-
-    def came_back(self, route: Route, wait: Milliseconds | None) -> bool:
-        """Whether a request's remaining time tells of an earlier attempt."""
-        if wait is None:
-            return False
-        longest = self._longest.get(route.name, 0.0)
-        if wait >= longest:
-            self._longest[route.name] = wait
-        return wait < _CAME_BACK * longest
+        self._credit: dict[str, float] = {}
 
     def step(self) -> None:
         """Let each level follow the fullness of its service."""
@@ -101,11 +86,14 @@
             steps = self._steps_from_worst.get(route, 0)
             yield service, route, 1.0 if level.cut == 0.0 else level.admitted(steps)
 
-    def admits(self, route: Route, share: float, came_back: bool) -> bool:
+    def admits(self, route: Route, share: float) -> bool:
         """Return whether one request is let in.
 
         Requests are let in evenly: draws of their own for each would swing by a
-        third at the ten requests a second that one node sees of a route.
+        third at the ten requests a second that one node sees of a route. Whether a
+        caller has been refused before makes no difference: each that is let in keeps
+        out another one, and nothing in a request tells the two apart where callers
+        differ in how long they wait.
 
         Parameters
         ----------
@@ -113,21 +101,16 @@
             Its route.
         share : float
             Admitted share of its rank.
-        came_back : bool
-            Whether its caller has tried before.
         """
         if share >= 1.0:
             return True
-        if came_back:
-            share = max(1.0 - _CAME_BACK_FALL * (1.0 - share), 0.0)
-        credit = self._credit.get((route.name, came_back), self._rng.random())
+        credit = self._credit.get(route.name, self._rng.random())
         credit += share
         admitted = credit >= 1.0
-        self._credit[route.name, came_back] = credit - admitted
+        self._credit[route.name] = credit - admitted
         return admitted
 
-    def retry_after(self, share: float) -> Milliseconds:
+    def retry_after(self, route: Route) -> Milliseconds:
         """Return when a refused caller may come back."""
-        least, most = _RETRY_AFTER_MS
-        wait = least + (most - least) * (1.0 - share)
-        return wait * (0.8 + 0.4 * self._rng.random())
+        wait = route.objective * self._rng.uniform(*_RETRY_AFTER_SHARES)
+        return max(wait, _LEAST_RETRY_AFTER_MS)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -8,6 +8,7 @@
 import trio
 
 from fuchsiagap.core.door.incarnation import BackendState, Incarnation
+from fuchsiagap.core.door.offered import OfferedLoad
 from fuchsiagap.core.door.queue import DoorQueue
 from fuchsiagap_node.core.mesh.backend_conn import BackendConn
 from fuchsiagap_node.core.mesh.outcome import (
@@ -28,7 +29,6 @@
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.door.incarnation import BackendReport
-    from fuchsiagap_node.core.mesh.frames import Call
     from fuchsiagap_node.core.mesh.job import Job
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.telling import Teller
@@ -79,6 +79,7 @@
         self._clock = clock
         self._tell = teller
         self._queue: DoorQueue[Job] = DoorQueue(1)
+        self._offered = OfferedLoad()
         self._incarnation = Incarnation()
         self._idle: list[BackendConn] = []
         self._at_server: dict[Job, None] = {}
@@ -114,15 +115,14 @@
         """Requests at the backend server."""
         return self._queue.running
 
-    def parent_of(self, request_id: str) -> Call | None:
+    def parent_of(self, request_id: str) -> Job | None:
         """Return the request that the backend server makes a call for.
 
         A backend server names its calls after the request that it runs: the
         identifier of that request, a dot, and more. What is not named after a request
         that runs here now is no call.
         """
-        job = self._by_id.get(request_id.rpartition(".")[0])
-        return None if job is None else job.call
+        return self._by_id.get(request_id.rpartition(".")[0])
 
     def failing(self) -> float:
         """Return the share of recent requests that ended refused or broken."""
@@ -136,10 +136,12 @@
         """Milliseconds since the server was last heard of, or since the start."""
         return self._clock.now() - self._beat_at
 
-    @property
-    def service_ms(self) -> Milliseconds:
-        """Mean time that a request holds a place; 0 if not known."""
-        return self._queue.service_ms
+    def offered(self) -> float:
+        """Return how many places the requests that arrive would fill."""
+        queue = self._queue
+        if not queue.service_ms:
+            return queue.load
+        return self._offered.places(self._clock.now(), queue.service_ms, queue.waiting)
 
     def is_warming(self) -> bool:
         """Whether the backend server is in its warm-up."""
@@ -218,18 +220,18 @@
         if not instance or instance != call.instance:
             job.reply(NotRun(LEAVING if self.known_instance() else NO_BACKEND))
             return
+        self._offered.note_arrival(self._clock.now())
         if self._queue.has_place():
             self._start(job)
             return
-        if self._queue.is_full() and not self._make_room(_order(call)):
+        if self._queue.is_full() and not self._make_room(call.rank):
             self._tell.event("queue-full", request=call.request_id, load=self.load)
             job.reply(NotRun(QUEUE_FULL))
             return
-        now = self._clock.now()
-        job.waiting = self._queue.push(job, _order(call), job.deadline, now)
+        job.waiting = self._queue.push(job, call.rank, job.deadline, job.due)
 
-    def _make_room(self, order: int) -> bool:
-        worst = self._queue.pop_worst(order)
+    def _make_room(self, rank: int) -> bool:
+        worst = self._queue.pop_worst(rank)
         if worst is None:
             return False
         worst.job.reply(NotRun(QUEUE_FULL))
@@ -357,7 +359,7 @@
             del self._by_id[job.call.request_id]
         self._note(outcome, self._clock.now() - job.started)
         job.reply(outcome)
-        while (waiting := self._queue.pop()) is not None:
+        while (waiting := self._queue.pop(self._clock.now())) is not None:
             if self.instance() == waiting.job.call.instance:
                 self._start(waiting.job)
             else:
@@ -401,10 +403,5 @@
         self._failing += (float(failed) - self._failing) * _FAILURE_WEIGHT
 
 
-def _order(call: Call) -> int:
-    """Return the place in the queue: within a rank, work begun goes first."""
-    return 2 * call.rank + (0 if call.is_call else 1)
-
-
 def _nothing() -> None:
     """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -13,8 +13,8 @@
     from fuchsiagap.core.routes.model import Route
     from fuchsiagap.core.routes.table import RouteTable, ShareRotation
     from fuchsiagap_node.core.mesh.admission import Admission
-    from fuchsiagap_node.core.mesh.frames import Call
     from fuchsiagap_node.core.mesh.http_request import Request
+    from fuchsiagap_node.core.mesh.job import Job
     from fuchsiagap_node.core.mesh.placement import OnFinal
     from fuchsiagap_node.core.mesh.placing import Placing
     from fuchsiagap_node.core.mesh.pressures import Pressures
@@ -62,7 +62,7 @@
         self._tell = teller
         self.table: RouteTable | None = None
         self.stopping = False
-        self.parent_of: Callable[[str], Call | None] = _no_parent
+        self.parent_of: Callable[[str], Job | None] = _no_parent
 
     def begin(self, req: Request, done: OnFinal) -> Placement | None:
         """Refuse a request or begin to place it.
@@ -94,7 +94,7 @@
         service = self._rotation.pick(route)
         parent = self.parent_of(req.request_id)
         if parent is not None:
-            self._pressures.note_call(parent.route, service, route.name)
+            self._pressures.note_call(parent.call.route, service, route.name)
         else:
             refusal = self._refusal(req, route, service, table.lowest_rank)
             if refusal is not None:
@@ -111,9 +111,9 @@
         if self.stopping:
             return Final(503, retry_after=RETRY_AFTER_MS)
         share = self._admission.admitted_share(service, route, lowest_rank)
-        came_back = self._admission.came_back(route, req.wait)
-        if self._admission.admits(route, share, came_back):
+        if self._admission.admits(route, share):
             return None
+        retry_after = self._admission.retry_after(route)
         self._tell.answered(route.name, "refused", 0.0)
         self._tell.counts["refused_at_entry", f"rank-{route.priority}"] += 1
         self._tell.event(
@@ -121,9 +121,9 @@
             request=req.request_id,
             route=route.name,
             share=round(share, 2),
-            came_back=came_back,
+            retry_after=round(retry_after),
         )
-        return Final(503, retry_after=self._admission.retry_after(share))
+        return Final(503, retry_after=retry_after)
 
 
 def _no_parent(_: str) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -17,6 +17,9 @@
 # Largest frame: a body at the usual limit of 64 MB and its head.
 MAX_FRAME_BYTES = 80_000_000
 _PREFIX_BYTES = 4
+# Parts of a place in which replies tell the offered load: a small number takes 2 bytes
+# where a fraction takes 9, and most of a reply is its head.
+_PARTS_OF_A_PLACE = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,12 +56,12 @@
         Incarnation that takes requests; empty if none does.
     limit, load : int
         Places, and requests that run or wait.
+    offered : float
+        Places that the requests that arrive would fill.
     failing : float
         Share of recent requests that ended refused or broken.
     warming : bool
         Whether the server is in its warm-up.
-    service_ms : int
-        Milliseconds that a request holds a place, in steps; 0 if not known.
     revision : int
         Revision of the configuration that this node has adopted.
     """
@@ -66,9 +69,9 @@
     instance: str
     limit: int
     load: int
+    offered: float
     failing: float
     warming: bool
-    service_ms: int
     revision: int
 
 
@@ -87,6 +90,9 @@
         Whole body.
     left : float
         Milliseconds until the sender gives its caller a final answer.
+    slack : int
+        Milliseconds in which an answer to the request at the root of its tree is in
+        time; negative once it is late.
     rank : int
         Priority of the request at the root of the tree that this one belongs to.
     is_call : bool
@@ -106,6 +112,7 @@
     head: bytes
     body: bytes
     left: float
+    slack: int
     rank: int
     is_call: bool
     repeated: bool
@@ -125,6 +132,8 @@
         What became of it.
     load : int
         Requests that run or wait at the door.
+    offered : float
+        Places that the requests that arrive at the door would fill.
     below : float
         Fullness of the services that requests of its route lead to from there.
     """
@@ -132,6 +141,7 @@
     call_id: int
     outcome: Outcome
     load: int
+    offered: float
     below: float
 
 
@@ -201,6 +211,7 @@
                 m.head,
                 m.body,
                 m.left,
+                m.slack,
                 m.rank,
                 m.is_call,
                 m.repeated,
@@ -208,17 +219,17 @@
                 m.request_id,
                 m.route,
             ]
-        case Reply(call_id, outcome, load, below):
-            return _reply_fields(call_id, outcome, load, below)
+        case Reply() as reply:
+            return _reply_fields(reply)
         case Status() as m:
             return [
                 _STATUS,
                 m.instance,
                 m.limit,
                 m.load,
+                m.offered,
                 m.failing,
                 m.warming,
-                m.service_ms,
                 m.revision,
             ]
         case Cancel(call_id):
@@ -243,16 +254,16 @@
             return [_CONFIG, revision, text]
 
 
-def _reply_fields(
-    call_id: int, outcome: Outcome, load: int, below: float
-) -> list[object]:
+def _reply_fields(reply: Reply) -> list[object]:
+    call_id, outcome, load, offered, below = reply
+    common = [call_id, load, round(offered * _PARTS_OF_A_PLACE), below]
     match outcome:
         case Answered(status, reason, headers, body):
-            return [_ANSWERED, call_id, load, below, status, reason, headers, body]
-        case NotRun(why, offered):
-            return [_NOT_RUN, call_id, load, below, why, offered]
+            return [_ANSWERED, *common, status, reason, headers, body]
+        case NotRun(why, was_offered):
+            return [_NOT_RUN, *common, why, was_offered]
         case MayHaveRun(why):
-            return [_MAY_HAVE_RUN, call_id, load, below, why]
+            return [_MAY_HAVE_RUN, *common, why]
 
 
 def decode(payload: bytes) -> Message:
@@ -266,8 +277,10 @@
 
 def _message(kind: int, rest: list[object]) -> Message:
     if kind >= _ANSWERED:
-        call_id, load, below, *outcome = rest
-        return Reply(call_id, _OUTCOMES[kind](*outcome), load, below)  # type: ignore[arg-type]
+        call_id, load, offered, below, *outcome = rest
+        settled = _OUTCOMES[kind](*outcome)  # type: ignore[arg-type]
+        places = offered / _PARTS_OF_A_PLACE  # type: ignore[operator]
+        return Reply(call_id, settled, load, places, below)  # type: ignore[arg-type]
     return cast("Message", _KINDS[kind](*rest))
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/job.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/job.py
@@ -25,6 +25,8 @@
         The call.
     deadline : float
         Local time at which its sender gives up.
+    due : float
+        Local time until which the answer at the root of its tree is in time.
     reply : callable
         Told the outcome, once.
     waiting : Waiting or None
@@ -37,7 +39,13 @@
 
     call: Call
     deadline: Milliseconds
+    due: Milliseconds
     reply: Callable[[Outcome], None]
     waiting: Waiting[Job] | None = None
     conn: BackendConn | None = None
     started: Milliseconds = 0.0
+
+    @classmethod
+    def of(cls, call: Call, now: Milliseconds, reply: Callable[[Outcome], None]) -> Job:
+        """Return the job of a call that arrives now."""
+        return cls(call, now + call.left, now + call.slack, reply)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -4,7 +4,6 @@
 
 import gc
 import itertools
-import math
 import random
 import secrets
 import signal
@@ -94,11 +93,6 @@
     return load // step * step
 
 
-def _doubling(time: Milliseconds) -> int:
-    """Return a time as a power of two, so that small changes send no status."""
-    return 1 << round(math.log2(time)) if time >= 1.0 else round(time)
-
-
 class Node:
     """A node of a deployment.
 
@@ -115,6 +109,8 @@
         Clock of the process; by default that of the running loop.
     reload : callable, optional
         Returns the settings as they stand now, or why they cannot be used.
+    rng : random.Random, optional
+        Breaks ties and spreads what nodes would do together; by default unseeded.
     """
 
     def __init__(
@@ -124,9 +120,10 @@
         read_report: Callable[[Request], BackendReport | None],
         clock: Clock | None = None,
         reload: Callable[[], MeshSettings | str] | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         clock = clock or trio_clock()
-        rng = random.Random()
+        rng = rng or random.Random()
         self.cfg = cfg
         self._clock = clock
         self._read_report = read_report
@@ -210,9 +207,9 @@
             self.door.instance(),
             self.door.limit,
             _coarse(self.door.load, self.door.limit),
+            _coarse(round(self.door.offered()), self.door.limit),
             round(self.door.failing(), 1),
             self.door.is_warming(),
-            _doubling(self.door.service_ms),
             self._config.revision,
         )
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_door.py
@@ -57,9 +57,10 @@
         def done(outcome: Outcome) -> None:
             if self._jobs.pop(call.call_id, None) is not None:
                 self.target.others = self._door.load
+                self.target.offered = self._door.offered()
                 reply(outcome, self._below(call.route))
 
-        job = Job(call, self._clock.now() + call.left, done)
+        job = Job.of(call, self._clock.now(), done)
         self._jobs[call.call_id] = job
         self._door.submit(job)
         self.target.others = self._door.load
@@ -77,6 +78,6 @@
         target.usable = bool(status.instance)
         target.limit = status.limit
         target.others = status.load
+        target.offered = self._door.offered()
         target.failing = status.failing
         target.warming = status.warming
-        target.service_ms = status.service_ms
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -29,6 +29,7 @@
     from fuchsiagap.core.clock import Milliseconds
     from fuchsiagap.core.routes.model import Route
     from fuchsiagap_node.core.mesh.http_request import Request
+    from fuchsiagap_node.core.mesh.job import Job
     from fuchsiagap_node.core.mesh.peers import Peer
     from fuchsiagap_node.core.mesh.placing import Placing
 
@@ -58,7 +59,7 @@
         Its route.
     service : str
         Service that is to answer it.
-    parent : Call or None
+    parent : Job or None
         The request for which the backend server on this host makes it.
     done : callable
         Told the final answer, once, unless the request is cancelled.
@@ -74,6 +75,7 @@
         "_call",
         "_deadline",
         "_done",
+        "_due",
         "_last",
         "_may_have_run",
         "_parent",
@@ -94,18 +96,20 @@
         req: Request,
         route: Route,
         service: str,
-        parent: Call | None,
+        parent: Job | None,
         done: OnFinal,
     ) -> None:
         self._placing = placing
         self._req = req
         self._route = route
         self._service = service
-        self._parent = parent
+        self._parent = None if parent is None else parent.call
         self._done = done
         self._started = placing.clock.now()
         wait = route.timeout if req.wait is None else min(route.timeout, req.wait)
         self._deadline = self._started + wait
+        own_due = self._started + route.objective
+        self._due = own_due if parent is None else parent.due
         self._arrivals = 0
         self._placements = 0
         self._may_have_run = False
@@ -176,6 +180,7 @@
         placing, req, route = self._placing, self._req, self._route
         parent = self._parent
         instance = peer.target.instance
+        now = placing.clock.now()
         head = b"%s %s HTTP/1.1\r\n%s%s%s: %s\r\n" % (
             req.method,
             req.target,
@@ -189,7 +194,8 @@
             instance,
             head,
             req.body,
-            round(self._deadline - placing.clock.now(), 1),
+            round(self._deadline - now, 1),
+            round(self._due - now),
             route.priority if parent is None else parent.rank,
             parent is not None,
             self._arrivals > 0 or (parent is not None and parent.repeated),
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pressures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pressures.py
@@ -18,11 +18,15 @@
 _FRESH_MS = 50.0
 # Milliseconds over which what replies say is smoothed (to 1/e), and forgotten once no
 # more replies come.
-_SMOOTHED_MS = 200.0
+_SMOOTHED_MS = 60.0
 _FORGOTTEN_MS = 2_000.0
-# What is left of a fullness one service further up. Services may call each other in a
-# circle, and without a loss on the way round a fullness in it would never fall.
-_PASSED_ON = 0.97
+# What a fullness loses from one service to the next one up, and the share that it loses
+# of what is above 1. Services may call each other in a circle, and without a loss on
+# the way round a fullness in it would never fall. A loss by a share of the whole made
+# the same service look fuller to its direct callers than to those three services above
+# it, which then were let in at a fifth of the others' share.
+_LOST = 0.01
+_LOST_OF_EXCESS = 0.03
 # What a reply says where the request made no calls.
 NO_CALLS = -1.0
 
@@ -110,7 +114,7 @@
         if computed is None or now - computed.at >= _FRESH_MS:
             self._drop_old(calls, now)
             fullest = max((self._met(*call) for call in calls), default=0.0)
-            computed = _Computed(round(_PASSED_ON * fullest, 3), now)
+            computed = _Computed(round(_passed_on(fullest), 3), now)
             self._computed[route] = computed
         return computed.value
 
@@ -124,3 +128,9 @@
     ) -> None:
         for call in [c for c, at in calls.items() if now - at > _CALLED_MS]:
             del calls[call]
+
+
+def _passed_on(fullness: float) -> float:
+    """Return what a fullness counts for one service further up."""
+    lost = _LOST + _LOST_OF_EXCESS * max(fullness - 1.0, 0.0)
+    return max(fullness - lost, 0.0)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -233,6 +233,7 @@
 
     def _take_reply(self, reply: Reply) -> None:
         self.target.others = max(reply.load - self.target.mine, 0)
+        self.target.offered = reply.offered
         on_outcome = self._pending.pop(reply.call_id, None)
         if on_outcome is None:
             self._tell.counts["late_replies", ""] += 1
@@ -246,9 +247,9 @@
         target.usable = bool(status.instance)
         target.limit = status.limit
         target.others = max(status.load - target.mine, 0)
+        target.offered = status.offered
         target.failing = status.failing
         target.warming = status.warming
-        target.service_ms = status.service_ms
         self.revision = status.revision
         self.on_status(self)
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
@@ -158,9 +158,10 @@
             if jobs.pop(call.call_id, None) is not None:
                 below = self.below(call.route)
                 sender.heard_load_at = self._clock.now()
-                link.post(Reply(call.call_id, outcome, self._door.load, below))
+                load, offered = self._door.load, self._door.offered()
+                link.post(Reply(call.call_id, outcome, load, offered, below))
 
-        job = Job(call, self._clock.now() + call.left, reply)
+        job = Job.of(call, self._clock.now(), reply)
         jobs[call.call_id] = job
         self._door.submit(job)
 
@@ -190,7 +191,7 @@
     """Whether a sender would learn nothing new but the load."""
     if told is None:
         return False
-    return replace(told, load=status.load, service_ms=status.service_ms) == status
+    return replace(told, load=status.load, offered=status.offered) == status
 
 
 def _ignore(_: object) -> None:
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -177,7 +178,8 @@
             cfg = replace(cfg, budget=budget)
         store = MemoryStore(self.state, self.known)
         server = BackendServer(cfg.backend, f"i-{name}")
-        host = Host(Node(cfg, store, lambda _: None), server, store)
+        rng = random.Random(len(self.hosts))
+        host = Host(Node(cfg, store, lambda _: None, rng=rng), server, store)
         self.hosts.append(host)
         self.nursery.start_soon(server.run)
         self.nursery.start_soon(_run, host, slots)
--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -24,10 +24,6 @@
 # Fullness that a service has if all its requests fail: above the aim, so that the
 # entries refuse trees that would come to nothing.
 FAILING_LOAD = 1.5
-# Milliseconds of waiting that count as one more load of all places. Where requests are
-# short, many may wait and hardly be late, so a queue that is long by number is no
-# reason to refuse trees.
-FULL_WAIT_MS = 100.0
 # Fullness added to a server in its warm-up, while it needs about twice as long.
 WARM_UP_PENALTY = 0.25
 
@@ -58,8 +54,8 @@
         Share of requests that ended refused or broken, as last reported.
     warming : bool
         Whether it is in its warm-up.
-    service_ms : float
-        Milliseconds that a request holds a place; 0 if not known.
+    offered : float
+        Places that the requests that arrive there would fill, as last reported.
     """
 
     node: str
@@ -72,15 +68,7 @@
     mine: int = 0
     failing: float = 0.0
     warming: bool = False
-    service_ms: float = 0.0
-
-    def pressing(self) -> float:
-        """Return its load, with what waits counted by the time that it waits."""
-        load = self.others + self.mine
-        if load <= self.limit or not self.service_ms:
-            return load
-        weight = min(self.service_ms / FULL_WAIT_MS, 1.0)
-        return self.limit + (load - self.limit) * weight
+    offered: float = 0.0
 
     def fullness(self) -> float:
         """Return requests per place, with the next one counted."""
@@ -158,7 +146,7 @@
 
 
 def service_fullness(targets: Sequence[Target]) -> float:
-    """Return requests per place over all servers of a service.
+    """Return the load offered to each place, over all servers of a service.
 
     Servers that take no requests add nothing; 0 without any server.
     """
@@ -166,7 +154,7 @@
     places = 0
     for target in targets:
         if target.usable:
-            load += target.pressing()
+            load += target.offered
             places += target.limit
     return load / places if places else 0.0
 
--- a/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
@@ -8,22 +8,15 @@
 if TYPE_CHECKING:
     from fuchsiagap.core.clock import Milliseconds
 
-# Fullness (running and waiting requests per place) that the entries aim at. Above 1 a
-# queue grows with every excess, which made the share swing between refusing nothing and
-# letting in what then timed out; below, places stay empty.
+# Load offered to each place that the entries aim at. Above it a queue grows; servers
+# that slow down when nearly full do as much with nine places in ten as with all.
 AIM = 0.9
-# Milliseconds in which the admitted share follows an excess of fullness by a factor
-# e. About twice the time from an admission to its effect at the deepest service.
-REACTION_MS = 900.0
-# The same for the way back. What is let in shows below only after a tree's whole time,
-# so a quick return lets in too much.
-RETURN_MS = 2_000.0
-# The least fullness that the way back follows: services that are nearly empty, as when
-# their servers stop failing, let in e times as much each second.
-LEAST_FULLNESS = 0.1
-# Largest excess that one step takes in: a long queue says that the share is too
-# large, not by how much.
-MAX_EXCESS = 0.7
+# Milliseconds in which the admitted share follows an excess by a factor e: somewhat
+# more than the time from an admission to its effect at the deepest service.
+REACTION_MS = 600.0
+# The same once the worst rank is cut as deep as it can be: what it sent before is still
+# on its way, and the next rank is not to pay for that.
+DEEP_REACTION_MS = 2_000.0
 # The least share of a rank that is let in before the next better one is refused too,
 # so that no kind of request is shut out altogether.
 LEAST_SHARE = 0.2
@@ -66,9 +59,12 @@
         elapsed : float
             Milliseconds since the last step.
         """
-        excess = math.log(max(fullness, LEAST_FULLNESS) / AIM)
-        excess = min(excess, MAX_EXCESS)
-        reaction = REACTION_MS if excess > 0.0 else RETURN_MS
+        excess = fullness / AIM - 1.0
+        reaction = REACTION_MS
+        if excess > 0.0:
+            excess = math.log1p(excess)
+            if self.cut >= self._worst_depth():
+                reaction = DEEP_REACTION_MS
         self.cut = max(0.0, self.cut + excess * elapsed / reaction)
         self.cut = min(self.cut, self._worst_depth() + 2.0 * _DEPTH)
         weight = 1.0 - math.exp(-elapsed / _MEAN_MS)
