--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -385,6 +385,9 @@
             waiting.job.reply(NotRun(EXPIRED))
         late = [j for j in self._at_server if now >= j.deadline + _LAST_WORD_MS]
         for job in late:
+            if job.conn is not None:
+                # Nothing may have come on it since: those unused since are no better.
+                self._idle.close_older(job.conn, job.started)
             self._break_off(job, MayHaveRun(EXPIRED))
         self._idle.close_outlived(now)
 
