--- a/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
@@ -1,4 +1,4 @@
-"""The share of requests refused at the entry, by rank, from the fullness below."""
+"""The share of requests refused at the entry, by rank, from the load below."""
 
 from __future__ import annotations
 
@@ -17,6 +17,9 @@
 # The same once the worst rank is cut as deep as it can be: what it sent before is still
 # on its way, and the next rank is not to pay for that.
 DEEP_REACTION_MS = 2_000.0
+# The least load that the way back follows: services that are nearly empty, as when
+# their servers stop failing, let in 12 times as much each second.
+LEAST_FULLNESS = 0.2
 # Excess that each factor e of a cut stands for: the deeper the cut, the higher the load
 # at which it stands. All entries see the same load, and without this what differs
 # between their cuts, from noise or from a link that was cut for a while, would stay for
@@ -34,6 +37,9 @@
 _LEAST_MEAN = 0.25
 # The share below which nothing is cut further.
 FLOOR = 0.02
+# Kinds of requests above the worst that may be cut one after the other; those beyond,
+# which are refused last of all, are left to the queues.
+_MOST_STEPS = 4
 _DEPTH = -math.log(LEAST_SHARE)
 _SURGE_DEPTH = -math.log(SURGE_SHARE)
 
@@ -56,24 +62,21 @@
         self._mean = 1.0
 
     def step(self, fullness: float, elapsed: Milliseconds) -> None:
-        """Follow the fullness of the service and of those below it.
+        """Follow the load on the service and on those below it.
 
         Parameters
         ----------
         fullness : float
-            Requests per place, the larger of own and below.
+            Load offered to each place, the larger of own and below.
         elapsed : float
             Milliseconds since the last step.
         """
-        excess = fullness / AIM - 1.0
-        reaction = REACTION_MS
-        if excess > 0.0:
-            excess = math.log1p(excess)
-            if self.cut >= self._worst_depth():
-                reaction = DEEP_REACTION_MS
+        excess = math.log(max(fullness, LEAST_FULLNESS) / AIM)
+        is_deep = excess > 0.0 and self.cut >= self._worst_depth()
+        reaction = DEEP_REACTION_MS if is_deep else REACTION_MS
         excess -= FADE * self.cut
         self.cut = max(0.0, self.cut + excess * elapsed / reaction)
-        self.cut = min(self.cut, self._worst_depth() + 2.0 * _DEPTH)
+        self.cut = min(self.cut, self._worst_depth() + _MOST_STEPS * _DEPTH)
         weight = 1.0 - math.exp(-elapsed / _MEAN_MS)
         self._mean += (self.admitted(0) - self._mean) * weight
 
