--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	@$(PY) -m mypy
 	@$(VENV)/bin/lint-imports
 	@$(PY) tools/check_names.py
+	@$(PY) tools/check_findings.py
 
 format: $(STAMP)
 	@$(PY) -m ruff format packages platform tools
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -37,9 +37,11 @@
 # Share of the nodes that see a lost one and remove it after one list; the others find
 # it removed at their next.
 _REMOVE_SHARE = 0.2
-# Milliseconds between two calls while the store fails, at first and at most.
+# Milliseconds between two calls while the store fails, at first and at most: soon back
+# for a node that is to be known; one that only follows the list has its links.
 _RETRY_MS = 200.0
 _RETRY_MAX_MS = 1_500.0
+_RETRY_LIST_MAX_MS = 6_000.0
 
 
 class MemberSync:
@@ -150,7 +152,8 @@
                 self._tell.event("store-lost", what="members", cause=result.reason)
             failing = True
             await trio.sleep(wait / MS_PER_S)
-            wait = min(2.0 * wait, _RETRY_MAX_MS)
+            most = _RETRY_MAX_MS if recent else _RETRY_LIST_MAX_MS
+            wait = min(2.0 * wait, most)
 
     async def _announce(self) -> None:
         wait: Milliseconds = _RETRY_MS
--- a/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/pressure/level.py
@@ -30,13 +30,13 @@
 # so that no kind of request is shut out altogether.
 LEAST_SHARE = 0.2
 # The same for the worst rank, in a surge: what it gives up is worth least.
-SURGE_SHARE = 0.03
+SURGE_SHARE = 0.05
 # Milliseconds over which the admitted share of the worst rank is averaged, and the mean
 # below which it is no longer cut to `SURGE_SHARE`: a surge that stays is no surge.
 _MEAN_MS = 20_000.0
 _LEAST_MEAN = 0.25
 # The share below which nothing is cut further.
-FLOOR = 0.02
+FLOOR = 0.03
 # Kinds of requests above the worst that may be cut one after the other; those beyond,
 # which are refused last of all, are left to the queues.
 _MOST_STEPS = 4
--- /dev/null
+++ b/tools/check_findings.py
@@ -0,0 +1,52 @@
+"""Fail where a day of the journal broke something and `docs/findings.md` is silent on it.
+
+A day counts if it broke a rule, ended with a fault, or missed its gate. The page must
+name the journal entry (its identifier) of each.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "findings.md"
+JOURNAL = ROOT / "journal"
+
+
+def broken(day: dict[str, Any]) -> str:
+    """Return what a day broke; empty if nothing."""
+    found = [f"{rule} {times}" for rule, times in day["rules"].items()]
+    found += [str(text) for text in day["short"]]
+    if day["fault"] and not any("fault" in text for text in found):
+        found.append(f"fault: {day['fault']}")
+    return "; ".join(found)
+
+
+def missing(page: str, entries: list[dict[str, Any]]) -> list[str]:
+    """Return a line for each day that broke something and whose entry is not named."""
+    lines = []
+    for entry in entries:
+        if entry["id"] in page:
+            continue
+        for day in entry.get("days") or []:
+            what = broken(day)
+            if what:
+                name = f"{entry['id']} {entry['site']} {day['name']}"
+                lines.append(f"{name}: {what.splitlines()[0][:200]}")
+    return lines
+
+
+def main() -> int:
+    entries = [json.loads(path.read_text()) for path in sorted(JOURNAL.glob("*.json"))]
+    lines = missing(PAGE.read_text(), entries)
+    for line in lines:
+        print(f"not in docs/findings.md: {line}")
+    print(f"{len(entries)} entries, {len(lines)} days without a finding")
+    return 1 if lines else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
