--- a/tools/check_findings.py
+++ b/tools/check_findings.py
@@ -1,4 +1,4 @@
-"""Fail where a day of the journal broke something and `docs/findings.md` is silent on it.
+"""Fail where a day of the journal broke something and the findings are silent on it.
 
 A day counts if it broke a rule, ended with a fault, or missed its gate. The page must
 name the journal entry (its identifier) of each.
