Forget kinds of requests that nobody asks for

Cause: a route of the worst rank without requests was a step of its own, which had to be cut to its least share before any other kind was refused, while queues grew. Change: a kind counts for 5 s after its last request at the entry. Test: test_order.test_kind_that_nobody_asks_for_any_more_is_no_step, failed before.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -58,6 +58,7 @@
         """Let each level follow the fullness of its service."""
         now = self._clock.now()
         elapsed, self._stepped_at = now - self._stepped_at, now
+        self._order.forget(now)
         self._learn_calls()
         for (service, route), level in self._levels.items():
             was_open = level.cut == 0.0
@@ -87,7 +88,7 @@
         level = self._levels.get((service, route.name))
         if level is None:
             level = self._levels[service, route.name] = RefusalLevel()
-        self._order.note_request(route)
+        self._order.note_request(route, self._clock.now())
         if level.cut == 0.0:
             return 1.0
         return level.admitted(self._order.steps_from_worst(route.name))
--- a/packages/fuchsiagap/src/fuchsiagap/core/pressure/order.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/pressure/order.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from fuchsiagap.core.clock import Milliseconds
     from fuchsiagap.core.routes.model import Route
 
 # A request is light if it makes fewer calls than this share of the heaviest of its
@@ -13,6 +14,9 @@
 # heavy ones give way first. Ranks whose kinds differ by less stay together: their
 # shares would swap places with every sample.
 LIGHT_SHARE = 0.25
+# Milliseconds without a request after which a kind no longer counts: a kind that nobody
+# asks for would be a step at which refusing changes nothing, while queues grow.
+FORGOTTEN_MS = 5_000.0
 
 
 @dataclass(slots=True)
@@ -20,6 +24,7 @@
     """What is known of the requests of a route."""
 
     rank: int
+    asked_at: Milliseconds
     calls: float = 0.0
 
 
@@ -35,29 +40,41 @@
         self._kinds: dict[str, _Kind] = {}
         self._steps: dict[str, int] = {}
 
-    def note_request(self, route: Route) -> None:
-        """Take in that requests of a route come."""
+    def note_request(self, route: Route, now: Milliseconds) -> None:
+        """Take in that a request of a route comes."""
         kind = self._kinds.get(route.name)
         if kind is None or kind.rank != route.priority:
-            self._kinds[route.name] = _Kind(route.priority)
+            self._kinds[route.name] = _Kind(route.priority, now)
             self._steps.clear()
+        else:
+            kind.asked_at = now
 
     def note_calls(self, route: str, calls: float) -> None:
         """Take in how many calls a request of a route makes, with those below."""
-        self._kinds[route].calls = calls
-        self._steps.clear()
+        kind = self._kinds.get(route)
+        if kind is not None:
+            kind.calls = calls
+            self._steps.clear()
+
+    def forget(self, now: Milliseconds) -> None:
+        """Forget the kinds that were not asked for of late."""
+        old = [
+            name
+            for name, kind in self._kinds.items()
+            if now - kind.asked_at > FORGOTTEN_MS
+        ]
+        for name in old:
+            del self._kinds[name]
+            self._steps.clear()
 
     def steps_from_worst(self, route: str) -> int:
-        """Return how many kinds are refused before those of a route; 0 for the worst.
+        """Return how many kinds are refused before those of a route.
 
-        Parameters
-        ----------
-        route : str
-            Name of a route of which requests have come.
+        0 for the worst, and for a route that nobody asked for of late.
         """
         if not self._steps:
             self._rank_all()
-        return self._steps[route]
+        return self._steps.get(route, 0)
 
     def _rank_all(self) -> None:
         heaviest: dict[int, float] = {}
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/pressure/test_order.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/pressure/test_order.py
@@ -1,6 +1,6 @@
 from testtools import TestCase
 
-from fuchsiagap.core.pressure.order import RefusalOrder
+from fuchsiagap.core.pressure.order import FORGOTTEN_MS, RefusalOrder
 from fuchsiagap.core.routes.model import Route, Share
 
 
@@ -15,7 +15,7 @@
     """Return an order that knows kinds by name, each with priority and calls."""
     order = RefusalOrder()
     for name, (priority, calls) in kinds.items():
-        order.note_request(a_route(name, priority))
+        order.note_request(a_route(name, priority), 0.0)
         order.note_calls(name, calls)
     return order
 
@@ -44,5 +44,13 @@
 
     def test_changed_priority_counts(self):
         order = an_order(read=(2, 0.0), buy=(0, 0.0))
-        order.note_request(a_route("read", 0))
+        order.note_request(a_route("read", 0), 0.0)
         self.assertEqual([0, 0], steps(order, "read", "buy"))
+
+    def test_kind_that_nobody_asks_for_any_more_is_no_step(self):
+        order = an_order(seldom=(9, 0.0), read=(2, 0.0), buy=(0, 0.0))
+        self.assertEqual([1, 2], steps(order, "read", "buy"))
+        for name, priority in (("read", 2), ("buy", 0)):
+            order.note_request(a_route(name, priority), FORGOTTEN_MS)
+        order.forget(FORGOTTEN_MS + 1.0)
+        self.assertEqual([0, 1], steps(order, "read", "buy"))
