--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pressures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pressures.py
@@ -25,8 +25,8 @@
 # What a fullness loses from one service to the next one up, and the share that it loses
 # of what is above 1. Services may call each other in a circle, and without a loss on
 # the way round a fullness in it would never fall. A loss by a share of the whole made
-# the same service look fuller to its direct callers than to those three services above
-# it, which then were let in at a fifth of the others' share.
+# the same service look fuller, by 9 of 100, to its direct callers than to those three
+# services above it, so the direct ones were refused first.
 _LOST = 0.01
 _LOST_OF_EXCESS = 0.03
 # Weight of one request in the mean number of calls of its route: about the last 20.
