Tell once a second how full a server is and what an entry believes

Cause looked for: too little was served on deployments of 58 and 81 hosts. Logs said when refusals of a route began and ended, with one fullness, and the share at each refusal; they could not tell whether places stood empty meanwhile, nor whether what the entries believed was what the servers said.

Change: a line a second and node, 'load', with running, waiting, places, offered load, failures and time at the server, and by service and route what is let in and the fullness that this follows; nothing while a node is idle. No decision changes.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -101,6 +101,11 @@
         """Requests at the backend server."""
         return self._queue.running
 
+    @property
+    def service_ms(self) -> Milliseconds:
+        """Mean milliseconds that a request is at the server; 0 if not known."""
+        return self._queue.service_ms
+
     def parent_of(self, request_id: str) -> Job | None:
         """Return the request that the backend server makes a call for.
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -54,6 +54,9 @@
 _SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # Milliseconds between two looks at whether the door's status is worth sending.
 _STATUS_MS = 250.0
+# Milliseconds between two lines of load: what a surge does to a server or an entry lasts
+# for seconds, and a node writes some ten lines a second beside them.
+_LOAD_LINE_MS = 1_000.0
 # Milliseconds between two looks at whether links to other nodes are needed.
 _CHOOSE_LINKS_MS = 1_000.0
 # Nodes of a data centre that notice first when the store is back: one may be down.
@@ -176,6 +179,7 @@
             (TICK_MS, self._placing.look),
             (STEP_MS, self._admission.step),
             (_STATUS_MS, self._tell_status),
+            (_LOAD_LINE_MS, self._tell_load),
             (LINK_LOOK_MS, self._links.look),
             (_CHOOSE_LINKS_MS, self._links.choose),
             (SWEEP_MS, self._callers.close_silent),
@@ -217,6 +221,35 @@
         self._own.take_status(self._status())
         self._taking.tell_status()
 
+    def _tell_load(self) -> None:
+        """Write how full the server is, what is let in, and what that follows.
+
+        Whether places stand empty while requests are refused, whether the entries
+        agree, and whether what they believe is what the servers say, can be seen only
+        where all of it stands at the same moments.
+        """
+        door = self.door
+        refusing = {
+            f"{service} {route}": (
+                round(share, 2),
+                round(self._pressures.of(service, route), 2),
+            )
+            for service, route, share in self._admission.shares()
+            if share < 1.0
+        }
+        if not door.load and not refusing:
+            return
+        self.tell.event(
+            "load",
+            running=door.running,
+            waiting=door.load - door.running,
+            places=door.limit,
+            offered=round(door.offered(), 1),
+            failing=round(door.failing(), 2),
+            service_ms=round(door.service_ms, 1),
+            let_in=refusing,
+        )
+
     async def run(self) -> None:
         """Serve until SIGTERM, then stop without cutting anything."""
         gc.set_threshold(_GC_YOUNG, 20, 50)
