Tell a server that starts again under its identifier by the time of its start

Cause: an incarnation was known by its server's identifier alone. A server that crashed and started again under it was ignored until its count passed the old one, and after it had drained or left for ever; its node then served nothing.

Change: identifier and time of start are the incarnation. A later start counts at once, in any state and at any sequence; an earlier one is a late word, unless it speaks three times in a row without the later one (a clock that went back). A leaving that says no start is believed of the one that counts; where an earlier one was never heard to leave, two heartbeats afterwards show whose it was. A heartbeat of another service than the node's is answered 400.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -156,14 +156,15 @@
             self._tell.event("report-ignored", instance=report.instance)
             return
         self._follow(report)
-        same = old is not None and old.instance == report.instance
+        same = old is not None and old.is_same_start(report)
         if same and old is not None and old.state is report.state:
             return
         if not same:
-            self._health.forget_failures()
+            self._forget_earlier(old, report)
         self._tell.event(
             "backend-changed",
             instance=report.instance,
+            born=report.born,
             state=report.state.value,
             sequence=report.sequence,
             places=report.slots,
@@ -172,6 +173,16 @@
             self.turn_away(LEAVING)
         self.changed()
 
+    def _forget_earlier(self, old: BackendReport | None, now: BackendReport) -> None:
+        """Begin anew with another incarnation."""
+        self._health.forget_failures()
+        if old is None or old.instance != now.instance:
+            return
+        # It has started again under its identifier. Calls under way end with their
+        # connections, as unknown; some may be with the new one already. None is to be
+        # sent on a connection of the earlier one.
+        self._idle.close_all()
+
     def _follow(self, report: BackendReport) -> None:
         """Go by a report of the server."""
         now = self._clock.now()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/idle_conns.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/idle_conns.py
@@ -56,6 +56,10 @@
         self._close(older)
         return len(older)
 
+    def close_all(self) -> None:
+        """Close every connection: the server at their other end is no more."""
+        self._close(list(self._conns))
+
     def _close(self, conns: list[BackendConn]) -> None:
         for conn in conns:
             self._conns.remove(conn)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -13,6 +13,7 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S, trio_clock
+from fuchsiagap.core.door.incarnation import BackendReport, BackendState
 from fuchsiagap.core.routes.table import RouteTable, ShareRotation
 from fuchsiagap_node.core.mesh.admission import STEP_MS, Admission
 from fuchsiagap_node.core.mesh.callers import SWEEP_MS, CallerEdge
@@ -41,12 +42,12 @@
 from fuchsiagap_node.core.mesh.taking import TakingLinks
 from fuchsiagap_node.core.mesh.telling import FLUSH_MS, Teller
 from fuchsiagap_node.core.mesh.ticker import TICK_MS, Ticker
+from fuchsiagap_node.core.mesh.unreadable import Unreadable
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
-    from fuchsiagap.core.door.incarnation import BackendReport
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.store import Store, StoredConfig
@@ -106,8 +107,7 @@
     store : Store
         The platform's store.
     read_report : callable
-        Returns what a backend server says in a request to the reports address, or
-        None for what is no report.
+        Returns what a backend server says in a request to the reports address.
     clock : Clock, optional
         Clock of the process; by default that of the running loop.
     reload : callable, optional
@@ -120,7 +120,7 @@
         self,
         cfg: MeshSettings,
         store: Store,
-        read_report: Callable[[Request], BackendReport | None],
+        read_report: Callable[[Request], BackendReport | Unreadable],
         clock: Clock | None = None,
         reload: Callable[[], MeshSettings | str] | None = None,
         rng: random.Random | None = None,
@@ -316,12 +316,23 @@
 
     def _answer_report(self, req: Request) -> Final:
         report = self._read_report(req)
-        if report is None:
-            self.tell.event("report-unreadable", target=req.target.decode("latin-1"))
-            return Final(400)
+        if isinstance(report, BackendReport):
+            report = self._of_own_service(report)
+        if isinstance(report, Unreadable):
+            self.tell.unreadable("report-unreadable", report)
+            text = f"{report.place}: {report.reason}\n".encode()
+            return Final(400, headers=b"Content-Type: text/plain\r\n", body=text)
         self.door.take_report(report)
         return Final(200, headers=b"Content-Type: application/json\r\n", body=b"{}")
 
+    def _of_own_service(self, report: BackendReport) -> BackendReport | Unreadable:
+        """Return a report if it is of the service that this node stands beside."""
+        service = self.cfg.service
+        if report.state is BackendState.GONE or report.service == service:
+            return report
+        reason = f"service {report.service!r} where {service!r} was expected"
+        return Unreadable(report.instance, reason)
+
     def _answer_metrics(self, req: Request) -> Final:
         if req.method != b"GET":
             return Final(404)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/telling.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from fuchsiagap_node.core.mesh.unreadable import Unreadable
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -25,8 +27,11 @@
 # One request in so many that was answered at the first try gets a line; the others
 # are counted only. At 1,000 requests a second that is 5 lines a second.
 SAMPLE_ANSWERED = 200
-# Repeats of a fault of one kind at one place for which one line is written.
-_REPEATED_FAULTS = 100
+# Repeats of a fault of one kind at one place, or of one unreadable word, for which one
+# line is written.
+_REPEATED = 100
+# Kinds of unreadable words that are told apart; beyond them all count as one.
+_MOST_UNREADABLE = 200
 # Upper bounds of the latency histogram in milliseconds.
 LATENCY_BOUNDS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000)
 
@@ -78,6 +83,7 @@
         self._latency: dict[str, list[int]] = {}
         self._latency_sum: Counter[str] = Counter()
         self._faults: Counter[tuple[str, str]] = Counter()
+        self._unreadable: Counter[Unreadable] = Counter()
 
     def event(self, kind: str, **fields: object) -> None:
         """Write a line.
@@ -122,11 +128,26 @@
         if seen == 1:
             trace = "".join(traceback.format_exception(exc))
             self.event("fault", where=where, cause=cause, trace=trace[-1_500:])
-        elif seen % _REPEATED_FAULTS == 0:
+        elif seen % _REPEATED == 0:
             self.event("fault", where=where, cause=cause, seen=seen)
         else:
             self.counts["events", "fault"] += 1
 
+    def unreadable(self, kind: str, word: Unreadable) -> None:
+        """Write a line for a word from outside that says nothing to be believed.
+
+        Of equal ones the first gets a line and then one in a hundred: whoever writes
+        them may go on for ever.
+        """
+        if word not in self._unreadable and len(self._unreadable) >= _MOST_UNREADABLE:
+            word = Unreadable("", "one of many")
+        self._unreadable[word] += 1
+        seen = self._unreadable[word]
+        if seen % _REPEATED == 1:
+            self.event(kind, place=word.place, reason=word.reason, seen=seen)
+        else:
+            self.counts["events", kind] += 1
+
     def answered(self, route: str, outcome: str, latency: float) -> None:
         """Count a request by route and outcome, and its latency in milliseconds."""
         self.counts["requests", f'route="{route}",outcome="{outcome}"'] += 1
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_door.py
@@ -100,3 +100,57 @@
         self.assertEqual([200] * 20, answers)
         self.assertEqual("i-certs-1", instance)
         self.assertEqual({1}, set(runs.values()))
+
+    def test_server_that_starts_again_under_its_identifier_is_used_at_once(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                door = host.node.door
+
+                def say(sequence, state, born):
+                    report = BackendReport(
+                        host.server.instance, state, sequence, "", 8, 0.0, "certs", born
+                    )
+                    door.take_report(report)
+                    return door.instance()
+
+                ready, draining = BackendState.READY, BackendState.DRAINING
+                found = [
+                    say(900, ready, 1_000),
+                    say(901, draining, 1_000),
+                    say(1, ready, 2_000),
+                    say(0, BackendState.GONE, 1_000),
+                    say(902, draining, 1_000),
+                ]
+                answer = await host.send("/read/1", "r1")
+                return host.server.instance, found, answer.status
+
+        instance, found, status = run_on_loopback(main)
+        self.assertEqual([instance, "", instance, instance, instance], found)
+        self.assertEqual(200, status)
+
+    def test_connections_of_the_earlier_incarnation_carry_nothing_more(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                await host.send("/read/1", "r1")
+                before = host.server.connections
+                for born in (1_000, 2_000):
+                    host.node.door.take_report(
+                        BackendReport(
+                            host.server.instance,
+                            BackendState.READY,
+                            500 + born,
+                            "",
+                            8,
+                            0.0,
+                            "certs",
+                            born,
+                        )
+                    )
+                await host.send("/read/1", "r2")
+                return before, host.server.connections
+
+        self.assertEqual((1, 2), run_on_loopback(main))
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -18,6 +18,7 @@
 from fuchsiagap_node.core.mesh.node import Node
 from fuchsiagap_node.core.mesh.settings import Addresses, MeshSettings
 from fuchsiagap_node.core.mesh.stream import BrokenStream, dial
+from fuchsiagap_node.core.mesh.unreadable import Unreadable
 from fuchsiagap_standins.mesh.backend_server import BackendServer
 from fuchsiagap_standins.mesh.memory_store import MemoryStore, SharedState
 
@@ -25,6 +26,7 @@
     from collections.abc import AsyncIterator
 
     from fuchsiagap.core.retries.shares import SharedBudget
+    from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.stream import Stream
 
 
@@ -179,7 +181,7 @@
         store = MemoryStore(self.state, self.known)
         server = BackendServer(cfg.backend, f"i-{name}")
         rng = random.Random(len(self.hosts))
-        host = Host(Node(cfg, store, lambda _: None, rng=rng), server, store)
+        host = Host(Node(cfg, store, _no_reports, rng=rng), server, store)
         self.hosts.append(host)
         self.nursery.start_soon(server.run)
         self.nursery.start_soon(_run, host, slots)
@@ -198,6 +200,11 @@
         await trio.sleep(3.0)
 
 
+def _no_reports(req: Request) -> Unreadable:
+    """Return that servers report in these deployments without a request."""
+    return Unreadable(req.target.decode("latin-1"), "no reports are taken here")
+
+
 async def _run(host: Host, slots: int) -> None:
     """Run a node, and the reports of its server, until the host's scope ends."""
     with host.scope:
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/door/test_incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/door/test_incarnation.py
@@ -1,3 +1,5 @@
+import random
+
 from testtools import TestCase
 
 from fuchsiagap.core.door.incarnation import (
@@ -7,9 +9,11 @@
 )
 
 
-def a_report(sequence, state=BackendState.READY, instance="i-1"):
+def a_report(sequence, state=BackendState.READY, instance="i-1", born=None):
     """Return a report of a backend server."""
-    return BackendReport(instance, state, sequence, "127.0.0.1:1", 8, 0.0, "certs")
+    return BackendReport(
+        instance, state, sequence, "127.0.0.1:1", 8, 0.0, "certs", born
+    )
 
 
 class TestIncarnation(TestCase):
@@ -87,3 +91,147 @@
         gone = a_report(0, BackendState.GONE, "i-0")
         self.assertFalse(self.incarnation.take(gone))
         self.assertIs(BackendState.READY, self.incarnation.report.state)
+
+
+class TestStartUnderTheSameIdentifier(TestCase):
+    """A server that crashes or leaves may start again under its identifier."""
+
+    def setUp(self):
+        super().setUp()
+        self.incarnation = Incarnation()
+
+    def believed(self):
+        """Return state, sequence and start of what is believed."""
+        report = self.incarnation.report
+        return report.state, report.sequence, report.born
+
+    def test_later_start_counts_at_once_whatever_its_sequence(self):
+        self.incarnation.take(a_report(90, born=1_000))
+        self.assertTrue(self.incarnation.take(a_report(1, born=2_000)))
+        self.assertEqual((BackendState.READY, 1, 2_000), self.believed())
+
+    def test_later_start_counts_after_the_earlier_one_had_drained_or_left(self):
+        for state in (BackendState.DRAINING, BackendState.GONE):
+            incarnation = Incarnation()
+            incarnation.take(a_report(90, born=1_000))
+            incarnation.take(a_report(91, state, born=1_000))
+            self.assertTrue(incarnation.take(a_report(1, born=2_000)))
+            self.assertIs(BackendState.READY, incarnation.report.state)
+            self.assertTrue(incarnation.take(a_report(2, born=2_000)))
+
+    def test_late_words_of_the_earlier_start_change_nothing(self):
+        self.incarnation.take(a_report(90, born=1_000))
+        self.incarnation.take(a_report(1, born=2_000))
+        for state in BackendState:
+            self.assertFalse(self.incarnation.take(a_report(91, state, born=1_000)))
+        self.assertEqual((BackendState.READY, 1, 2_000), self.believed())
+
+    def test_later_start_that_is_first_heard_of_as_it_leaves(self):
+        for state in (BackendState.DRAINING, BackendState.GONE):
+            incarnation = Incarnation()
+            incarnation.take(a_report(90, born=1_000))
+            self.assertTrue(incarnation.take(a_report(5, state, born=2_000)))
+            self.assertIs(state, incarnation.report.state)
+            self.assertFalse(incarnation.take(a_report(4, born=2_000)))
+
+    def test_later_start_of_a_superseded_identifier(self):
+        self.incarnation.take(a_report(90, born=1_000))
+        self.incarnation.take(a_report(1, instance="i-2", born=2_000))
+        self.assertTrue(self.incarnation.take(a_report(1, born=3_000)))
+        self.assertEqual("i-1", self.incarnation.report.instance)
+
+    def test_leaving_without_a_start_is_final_where_nobody_else_can_have_said_it(self):
+        self.incarnation.take(a_report(1, born=1_000))
+        self.assertTrue(self.incarnation.take(a_report(0, BackendState.GONE)))
+        for sequence in range(2, 9):
+            self.assertFalse(self.incarnation.take(a_report(sequence, born=1_000)))
+        self.assertTrue(self.incarnation.take(a_report(1, born=2_000)))
+
+    def test_late_leaving_of_the_earlier_start_does_not_hold(self):
+        # The earlier one was never heard to leave, so the word may be its own.
+        self.incarnation.take(a_report(90, born=1_000))
+        self.incarnation.take(a_report(1, born=2_000))
+        self.assertTrue(self.incarnation.take(a_report(0, BackendState.GONE)))
+        self.assertFalse(self.incarnation.take(a_report(1, born=2_000)))
+        self.assertFalse(self.incarnation.take(a_report(2, born=2_000)))
+        self.assertTrue(self.incarnation.take(a_report(3, born=2_000)))
+        self.assertEqual((BackendState.READY, 3, 2_000), self.believed())
+
+    def test_clock_that_went_back_is_believed_after_some_heartbeats(self):
+        self.incarnation.take(a_report(90, born=5_000))
+        taken = [self.incarnation.take(a_report(n, born=4_000)) for n in (1, 2, 3)]
+        self.assertEqual([False, False, True], taken)
+        self.assertEqual((BackendState.READY, 3, 4_000), self.believed())
+
+    def test_held_up_heartbeats_between_those_of_the_living_change_nothing(self):
+        self.incarnation.take(a_report(1, born=5_000))
+        for n in range(2, 9):
+            self.assertFalse(self.incarnation.take(a_report(n, born=4_000)))
+            self.assertTrue(self.incarnation.take(a_report(n, born=5_000)))
+        self.assertEqual((BackendState.READY, 8, 5_000), self.believed())
+
+
+def words_of_lives(rng):
+    """Return what up to three incarnations of one identifier say, in order."""
+    words = []
+    for life in range(rng.randint(1, 3)):
+        born = 1_000 * (life + 1)
+        sequence = rng.randint(0, 50)
+        states = [BackendState.READY] * rng.randint(1, 4)
+        if rng.random() < 0.5:
+            states += [BackendState.DRAINING] * rng.randint(1, 2)
+        if rng.random() < 0.5:
+            states.append(BackendState.GONE)
+        for state in states:
+            sequence += 1
+            words.append(a_report(sequence, state, born=born))
+    return words
+
+
+def oracle(heard):
+    """Return state and start that the words heard so far stand for."""
+    born = max(word.born for word in heard)
+    of_the_last = [word for word in heard if word.born == born]
+    last = max(of_the_last, key=lambda word: word.sequence)
+    return last.state, born
+
+
+class TestWordsInAnyOrder(TestCase):
+    """Words that are lost, repeated and come in any order, against a slow oracle."""
+
+    N_RUNS = 3_000
+
+    def test_the_newest_word_of_the_latest_start_counts(self):
+        for seed in range(self.N_RUNS):
+            rng = random.Random(seed)
+            words = [w for w in words_of_lives(rng) if rng.random() < 0.8]
+            words += rng.sample(words, len(words) // 3)
+            # A word is held up behind some that were said after it.
+            order = sorted(
+                range(len(words)), key=lambda n: n + rng.choice((0, 0, 3, 9))
+            )
+            incarnation, heard = Incarnation(), []
+            for n in order:
+                incarnation.take(words[n])
+                heard.append(words[n])
+                self._check(seed, incarnation.report, heard)
+
+    def _check(self, seed, report, heard):
+        state, born = oracle(heard)
+        if report is None:
+            # Nothing but leavings: nobody is believed in.
+            self.assertIs(BackendState.GONE, state, seed)
+            return
+        if born == report.born:
+            self.assertIs(state, report.state, seed)
+            return
+        # An earlier one is believed only after three heartbeats, with no news of the
+        # latest in between.
+        self.assertLess(report.born, born, seed)
+        of_the_last = [word.sequence for word in heard if word.born == born]
+        newest = heard.index(
+            next(w for w in heard if (w.born, w.sequence) == (born, max(of_the_last)))
+        )
+        beats = [w for w in heard[newest:] if w.state is BackendState.READY]
+        n_beats = len({(w.born, w.sequence) for w in beats if w.born < born})
+        self.assertGreaterEqual(n_beats, 3, seed)
