Read what others write strictly: entries, configurations, frames

Cause: an entry of the store with a field missing ended the list of nodes with an exception, so one other writer kept every node from learning of the others; numbers and booleans passed as texts; a status between nodes was taken without a look at its types.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -288,20 +288,96 @@
     try:
         fields = cbor2.loads(payload)
         return _message(fields[0], fields[1:])
-    except (cbor2.CBORDecodeError, TypeError, IndexError, KeyError, ValueError) as exc:
+    except (
+        cbor2.CBORDecodeError,
+        TypeError,
+        IndexError,
+        KeyError,
+        ValueError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise BadFrame(f"{type(exc).__name__}: {exc}") from exc
 
 
 def _message(kind: int, rest: list[object]) -> Message:
+    _check_types(kind, rest)
     if kind >= _ANSWERED:
         call_id, load, offered, fullness, calls, *outcome = rest
         settled = _OUTCOMES[kind](*outcome)  # type: ignore[arg-type]
+        if not (
+            0 <= load < _MOST  # type: ignore[operator]
+            and 0 <= offered < _MOST  # type: ignore[operator]
+            and NO_CALLS <= fullness < _MOST  # type: ignore[operator]
+            and 0 <= calls < _MOST  # type: ignore[operator]
+        ):
+            raise ValueError(f"a number of the reply is out of range: {rest[1:5]}")
         places = offered / _PARTS_OF_A_PLACE  # type: ignore[operator]
         below = Below(fullness, calls)  # type: ignore[arg-type]
         return Reply(call_id, settled, load, places, below)  # type: ignore[arg-type]
-    return cast("Message", _KINDS[kind](*rest))
+    message = cast("Message", _KINDS[kind](*rest))
+    if isinstance(message, Status):
+        _check_status(message)
+    elif isinstance(message, Call) and not -_MOST < message.left < _MOST:
+        raise ValueError(f"time left out of range: {message.left}")
+    return message
 
 
+def _check_types(kind: int, rest: list[object]) -> None:
+    """Raise `TypeError` unless the fields of a message have its types.
+
+    Those seen before are found by one look-up, since each call and reply comes here.
+    """
+    types = tuple(map(type, rest))
+    if (kind, types) in _SEEN_TYPES:
+        return
+    expected = _TYPES[kind]
+    if len(types) != len(expected):
+        raise TypeError(f"{len(types)} fields where {len(expected)} were expected")
+    for place, (found, allowed) in enumerate(zip(types, expected, strict=True)):
+        if found not in allowed:
+            raise TypeError(f"field {place}: {found.__name__} was not expected")
+    _SEEN_TYPES.add((kind, types))
+
+
+def _check_status(status: Status) -> None:
+    """Raise `ValueError` where a number would make no sense to whoever uses it."""
+    if not (
+        0 <= status.limit < _MOST
+        and 0 <= status.load < _MOST
+        and 0 <= status.offered < _MOST
+        and 0 <= status.failing <= 1
+        and 0 <= status.revision < _MOST
+    ):
+        raise ValueError(f"a number is out of range: {status}")
+
+
+# No number that a node tells of a load, a time or a revision comes near it.
+_MOST = 2**53
+_TEXT, _BYTES, _WHOLE, _TRUTH = (str,), (bytes,), (int,), (bool,)
+_NUMBER = (float, int)
+_BELOW = (_WHOLE, _WHOLE, _WHOLE, _NUMBER, _WHOLE)
+# Types that each field of a message may have, by its kind. A truth value is no number,
+# so exact types are compared.
+_TYPES: dict[int, tuple[tuple[type, ...], ...]] = {
+    _HELLO: (*5 * (_TEXT,), _TRUTH),
+    _STATUS: (_TEXT, _WHOLE, _WHOLE, _NUMBER, _NUMBER, _TRUTH, _WHOLE),
+    _CALL: (
+        *(_WHOLE, _TEXT, _BYTES, _BYTES, _NUMBER, _WHOLE, _WHOLE),
+        *3 * (_TRUTH,),
+        *2 * (_TEXT,),
+    ),
+    _CANCEL: (_WHOLE,),
+    _PING: (),
+    _PONG: (),
+    _WANTED: (),
+    _CONFIG: (_WHOLE, _BYTES),
+    _ANSWERED: (*_BELOW, _WHOLE, *3 * (_BYTES,)),
+    _NOT_RUN: (*_BELOW, _TEXT, _TRUTH),
+    _MAY_HAVE_RUN: (*_BELOW, _TEXT),
+}
+# Kinds and types that were found right; as many as messages have ways to be written.
+_SEEN_TYPES: set[tuple[int, tuple[type, ...]]] = set()
 _KINDS = {
     _HELLO: Hello,
     _STATUS: Status,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -145,6 +145,9 @@
             if isinstance(result, Members):
                 if failing:
                     self._tell.event("store-regained", what="members")
+                for entry in result.broken:
+                    # It is neither dialled nor removed: who wrote it may need it.
+                    self._tell.unreadable("entry-unreadable", entry)
                 self._links.know(result.present.values())
                 self._links.forget_unlisted(result.present, _FORGET_MS)
                 return result.present
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
@@ -11,6 +11,7 @@
     from fuchsiagap.core.clock import Milliseconds
     from fuchsiagap.core.routes.model import RouteConfig
     from fuchsiagap_node.core.mesh.sending import Member
+    from fuchsiagap_node.core.mesh.unreadable import Unreadable
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,9 +59,12 @@
     ----------
     present : mapping of str to Member
         Nodes by name.
+    broken : tuple of Unreadable
+        Entries that name no node: of another writer, or of another version.
     """
 
     present: Mapping[str, Member]
+    broken: tuple[Unreadable, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
@@ -0,0 +1,108 @@
+"""Messages between nodes, and what is no message."""
+
+import contextlib
+import os
+import random
+
+import cbor2
+from testtools import TestCase
+
+from fuchsiagap_node.core.mesh.frames import (
+    NO_CALLS,
+    BadFrame,
+    Below,
+    Call,
+    Cancel,
+    ConfigText,
+    ConfigWanted,
+    Hello,
+    Ping,
+    Pong,
+    Reply,
+    Status,
+    decode,
+    encode,
+)
+from fuchsiagap_node.core.mesh.outcome import Answered, MayHaveRun, NotRun
+from fuchsiagap_standins.fuzz import mutated
+
+_PREFIX_BYTES = 4
+STATUS = Status("i-1", 8, 3, 2.5, 0.5, False, 7)
+MESSAGES = (
+    Hello("n-1", "x", "127.0.0.1:1", "hall-a", "certs"),
+    STATUS,
+    Call(1, "i", b"h", b"b", 9.5, -3, 0, False, True, True, "r", "read"),
+    Reply(1, Answered(200, b"OK", b"", b"body"), 2, 0.5, Below(0.7, 3)),
+    Reply(2, NotRun("leaving", True), 0, 0.0, Below(NO_CALLS, 0)),
+    Reply(3, MayHaveRun("link lost"), 0, 0.0, Below(NO_CALLS, 0)),
+    Cancel(4),
+    Ping(),
+    Pong(),
+    ConfigWanted(),
+    ConfigText(3, b"{}"),
+)
+# Mutated frames; 100,000 by hand: `FUZZ_RUNS=100000`.
+N_RUNS = int(os.environ.get("FUZZ_RUNS", "3000"))
+
+
+def payload(message):
+    """Return the payload of a message's frame."""
+    return encode(message)[_PREFIX_BYTES:]
+
+
+def changed(message, place, value):
+    """Return the payload of a message with another field."""
+    fields = cbor2.loads(payload(message))
+    fields[place] = value
+    return cbor2.dumps(fields)
+
+
+class TestFrames(TestCase):
+    def test_each_message_comes_out_as_it_went_in(self):
+        for message in MESSAGES:
+            self.assertEqual(message, decode(payload(message)))
+
+    def test_field_of_another_type_is_no_message(self):
+        for place, value in (
+            (1, 5),
+            (2, "8"),
+            (2, True),
+            (2, 2.0),
+            (3, None),
+            (4, "much"),
+            (5, [0.5]),
+            (6, 0),
+            (7, -1),
+            (7, 2**80),
+        ):
+            frame = changed(STATUS, place, value)
+            self.assertRaises(BadFrame, decode, frame)
+
+    def test_number_that_makes_no_sense_is_no_message(self):
+        for place, value in (
+            (2, -1),
+            (3, 2**60),
+            (4, float("inf")),
+            (4, float("nan")),
+            (5, 1.5),
+            (5, -0.5),
+        ):
+            self.assertRaises(BadFrame, decode, changed(STATUS, place, value))
+        reply = MESSAGES[3]
+        for place, value in ((2, -1), (4, float("nan")), (4, -2.0), (5, 2**60)):
+            self.assertRaises(BadFrame, decode, changed(reply, place, value))
+
+    def test_missing_and_further_fields_are_no_message(self):
+        fields = cbor2.loads(payload(STATUS))
+        for found in (fields[:-1], [*fields, 1], [], [99], [[1], 2], {"a": 1}, 7):
+            self.assertRaises(BadFrame, decode, cbor2.dumps(found))
+
+    def test_nesting_without_an_end_is_no_message(self):
+        self.assertRaises(BadFrame, decode, b"\x81" * 100_000)
+
+    def test_mutated_frames_end_in_a_message_or_in_no_message(self):
+        rng = random.Random(1)
+        for _ in range(N_RUNS):
+            frame = mutated(payload(rng.choice(MESSAGES)), rng)
+            with contextlib.suppress(BadFrame):
+                decode(frame)
