Let failures count by the calls that meet them

Cause: the failures of a service counted by places, those of a server that gets nothing any more included, while its places counted as room. One of two servers that reset all it got told 0.76 for seconds after anybody had sent to it; the entries were told 0.57 of load by failures alone.

Change: failures count by what is offered to each server; the places of a server count by the share that it does not fail.

--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -24,6 +24,12 @@
 # Fullness that a service has if all its requests fail: above the aim, so that the
 # entries refuse trees that would come to nothing.
 FAILING_LOAD = 1.5
+# Share of the places of a server that count as sound at least, however many of its
+# requests fail, so that a load on failing servers alone stays a number.
+_LEAST_SOUND = 0.1
+# Load for each place with which a server counts that is offered nothing: where a
+# service is idle, its servers count by their places.
+_IDLE_WEIGHT = 0.02
 # Fullness added to a server in its warm-up, while it needs about twice as long.
 WARM_UP_PENALTY = 0.25
 
@@ -148,27 +154,32 @@
 def service_fullness(targets: Sequence[Target]) -> float:
     """Return the load offered to each place, over all servers of a service.
 
-    Servers that take no requests add nothing; 0 without any server.
+    Servers that take no requests add nothing; 0 without any server. Places of a server
+    that fails do work for the rest of its requests only: a sound server beside one
+    that failed looked half as full as it was.
     """
     load = 0.0
-    places = 0
+    places = 0.0
     for target in targets:
         if target.usable:
             load += target.offered
-            places += target.limit
+            places += target.limit * max(1.0 - target.failing, _LEAST_SOUND)
     return load / places if places else 0.0
 
 
 def service_failing(targets: Sequence[Target]) -> float:
     """Return the fullness that the failures of a service count as for its callers.
 
-    Places that hand out failures do no work, and a request that makes several calls
-    needs each of them.
+    A request that makes several calls needs each of them. Servers count by what is
+    offered to them, which is how likely a call meets them: by their places, one of two
+    that failed and got nothing any more made entries let in 7 of 100 requests while
+    the other one had room (a play with 22 hosts).
     """
-    places = 0
+    weights = 0.0
     failing = 0.0
     for target in targets:
         if target.usable:
-            failing += target.failing * target.limit
-            places += target.limit
-    return FAILING_LOAD * failing / places if places else 0.0
+            weight = target.offered + _IDLE_WEIGHT * target.limit
+            failing += target.failing * weight
+            weights += weight
+    return FAILING_LOAD * failing / weights if weights else 0.0
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
@@ -87,3 +87,12 @@
     def test_failures_count_by_places(self):
         targets = (a_target("a", failing=1.0), a_target("b"))
         self.assertAlmostEqual(0.75, service_failing(targets))
+
+    def test_failures_count_by_what_is_offered(self):
+        targets = (a_target("a", failing=1.0), a_target("b", offered=9.0))
+        self.assertLess(service_failing(targets), 0.05)
+
+    def test_places_of_a_failing_server_are_no_room(self):
+        targets = (a_target("a", failing=1.0), a_target("b", offered=9.0))
+        self.assertGreater(service_fullness(targets), 0.8)
+        self.assertLess(service_fullness(targets), 0.9)
