Repeat a failed call where it failed, not at each hop above

A server whose call failed answers 500, and the hop above took that for a failure to repeat: it sent the whole tree once more, whose calls are charged to the budgets of all services below, out of which the hop that saw the failure itself would have repeated one call.

Change: a reply says whether its server failed with a call of its own; then the sender does not repeat it.

Figures: test_failed_call_is_repeated_where_it_failed_alone: 4, 5 and 9 arrivals at the three services, 3, 3 and 6 with this.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -132,10 +132,13 @@
         Fullness of the services that requests of its route call; `NO_CALLS` without.
     calls : int
         Calls that it made, with those that they made.
+    failed : bool, default=False
+        Whether its server failed since one of these did.
     """
 
     fullness: float
     calls: int
+    failed: bool = False
 
 
 class Reply(NamedTuple):
@@ -303,7 +306,7 @@
 def _message(kind: int, rest: list[object]) -> Message:
     _check_types(kind, rest)
     if kind >= _ANSWERED:
-        call_id, load, offered, fullness, calls, *outcome = rest
+        call_id, load, offered, fullness, calls, failed, *outcome = rest
         settled = _OUTCOMES[kind](*outcome)  # type: ignore[arg-type]
         if not (
             0 <= load < _MOST  # type: ignore[operator]
@@ -313,7 +316,7 @@
         ):
             raise ValueError(f"a number of the reply is out of range: {rest[1:5]}")
         places = offered / _PARTS_OF_A_PLACE  # type: ignore[operator]
-        below = Below(fullness, calls)  # type: ignore[arg-type]
+        below = Below(fullness, calls, failed)  # type: ignore[arg-type]
         return Reply(call_id, settled, load, places, below)  # type: ignore[arg-type]
     message = cast("Message", _KINDS[kind](*rest))
     if isinstance(message, Status):
@@ -356,7 +359,7 @@
 _MOST = 2**53
 _TEXT, _BYTES, _WHOLE, _TRUTH = (str,), (bytes,), (int,), (bool,)
 _NUMBER = (float, int)
-_BELOW = (_WHOLE, _WHOLE, _WHOLE, _NUMBER, _WHOLE)
+_BELOW = (_WHOLE, _WHOLE, _WHOLE, _NUMBER, _WHOLE, _TRUTH)
 # Types that each field of a message may have, by its kind. A truth value is no number,
 # so exact types are compared.
 _TYPES: dict[int, tuple[tuple[type, ...], ...]] = {
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/job.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/job.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from fuchsiagap_node.core.mesh.frames import Below
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -64,6 +66,10 @@
         """
         return self.call_failed or self.open_calls > 0
 
+    def led_to(self, fullness: float) -> Below:
+        """Return what the call led to, at a fullness of the services below it."""
+        return Below(fullness, self.calls, self.fails_with_its_calls())
+
     @classmethod
     def of(cls, call: Call, now: Milliseconds, reply: Callable[[Outcome], None]) -> Job:
         """Return the job of a call that arrives now."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_door.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.placement.choice import Target
-from fuchsiagap_node.core.mesh.frames import Below
 from fuchsiagap_node.core.mesh.job import Job
 
 if TYPE_CHECKING:
@@ -59,7 +58,7 @@
             if self._jobs.pop(call.call_id, None) is not None:
                 self.target.others = self._door.load
                 self.target.offered = self._door.offered()
-                reply(outcome, Below(self._below(call.route), job.calls))
+                reply(outcome, job.led_to(self._below(call.route)))
 
         job = Job.of(call, self._clock.now(), done)
         self._jobs[call.call_id] = job
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -79,6 +79,7 @@
         "_deadline",
         "_done",
         "_due",
+        "_failed_below",
         "_last",
         "_may_have_run",
         "_offered_to",
@@ -119,6 +120,7 @@
         self._arrivals = 0
         self._placements = 0
         self._may_have_run = False
+        self._failed_below = False
         self._tried: list[str] = []
         self._offered_to: set[str] = set()
         self._last: Outcome = NotRun(NO_BACKEND)
@@ -231,6 +233,7 @@
         self._peer = self._call = None
         if self._parent_job is not None:
             self._parent_job.calls += 1 + below.calls
+        self._failed_below = below.failed
         try:
             if isinstance(outcome, Answered):
                 route = self._route.name
@@ -264,7 +267,14 @@
             self._place()
 
     def _wants_repeat(self, outcome: Answered) -> bool:
-        """Whether another backend server may do better than this answer."""
+        """Whether another backend server may do better than this answer.
+
+        Not where the server failed with a call of its own: that was repeated where it
+        failed, as far as the budget goes, and each hop above would repeat the whole of
+        its tree, out of the same budgets.
+        """
+        if self._failed_below:
+            return False
         return self._route.idempotent and outcome.status in (500, 502)
 
     def _may_repeat(self, outcome: Outcome) -> bool:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pressures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pressures.py
@@ -73,7 +73,7 @@
 
     def note_reply(self, service: str, route: str, below: Below) -> None:
         """Take in what a reply says of the services below its route."""
-        fullness, calls = below
+        fullness, calls, _ = below
         now = self._clock.now()
         known = self._below.get((service, route))
         if known is None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
@@ -10,7 +10,6 @@
 from fuchsiagap_node.core.mesh.frames import (
     NO_CALLS,
     BadFrame,
-    Below,
     Call,
     Cancel,
     ConfigText,
@@ -157,7 +156,7 @@
 
         def reply(outcome: Outcome) -> None:
             if jobs.pop(call.call_id, None) is not None:
-                below = Below(self.below(call.route), job.calls)
+                below = job.led_to(self.below(call.route))
                 sender.heard_load_at = self._clock.now()
                 load, offered = self._door.load, self._door.offered()
                 link.post(Reply(call.call_id, outcome, load, offered, below))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_failing_below.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_failing_below.py
@@ -69,6 +69,29 @@
         self.assertGreater(stock, 0.1)
         self.assertEqual((0.0, 0.0), (pages, orders))
 
+    def test_failed_call_is_repeated_where_it_failed_alone(self):
+        async def main():
+            async with a_deployment(*ROUTES) as deployment:
+                pages, orders, stock = (
+                    [deployment.add(route.name) for _ in range(2)] for route in ROUTES
+                )
+                for host in pages:
+                    host.server.on_run = a_call_of(host, "orders")
+                for host in orders:
+                    host.server.on_run = a_call_of(host, "stock")
+                for host in stock:
+                    host.server.behave = lambda _: Behaviour(status=500)
+                await deployment.settle()
+                for number in range(3):
+                    await pages[0].send("/pages/1", f"p{number}")
+                return [
+                    sum(len(host.server.heads) for host in hosts)
+                    for hosts in (pages, orders, stock)
+                ]
+
+        # Repeated at each hop, as far as the budgets go: 4, 5 and 9.
+        self.assertEqual([3, 3, 6], run_on_loopback(main))
+
     def test_server_that_fails_without_a_call_counts(self):
         # Its own 500, as of a server that fails part of its requests.
         _, _, stock = run_on_loopback(lambda: failing_shares(Behaviour(status=500)))
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/tests/test_guarantees.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/tests/test_guarantees.py
@@ -17,7 +17,8 @@
         self.page = (ROOT / "docs" / "guarantees.md").read_text()
 
     def test_each_named_test_exists(self):
-        sources = ROOT.glob("packages/*/src/*/tests/**/test_*.py")
+        folders = ("packages/*/src/*/tests", "platform/src/*/tests")
+        sources = [path for f in folders for path in ROOT.glob(f"{f}/**/test_*.py")]
         found = set(
             re.findall(r"def (test_\w+)", "".join(map(Path.read_text, sources)))
         )
