Ask for three heartbeats before a leaving is doubted

One or two that were held up may be of the incarnation that has left, and work sent to it then would break the promise of the drain; three in a row come from one that lives. Test: test_late_leaving_of_the_earlier_start_does_not_hold, one heartbeat more.

--- a/packages/fuchsiagap/src/fuchsiagap/core/door/incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/door/incarnation.py
@@ -14,8 +14,9 @@
 # they do, the next word of the one that lives puts it right.
 _EARLIER_REPORTS = 3
 # Heartbeats after a leaving without a time of start that show that it was said by an
-# earlier incarnation of the same identifier.
-_REPORTS_AFTER_LEAVING = 2
+# earlier incarnation of the same identifier. One or two may have been held up and be of
+# the one that has left.
+_REPORTS_AFTER_LEAVING = 3
 
 
 class BackendState(Enum):
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/door/test_incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/door/test_incarnation.py
@@ -154,8 +154,9 @@
         self.assertTrue(self.incarnation.take(a_report(0, BackendState.GONE)))
         self.assertFalse(self.incarnation.take(a_report(1, born=2_000)))
         self.assertFalse(self.incarnation.take(a_report(2, born=2_000)))
-        self.assertTrue(self.incarnation.take(a_report(3, born=2_000)))
-        self.assertEqual((BackendState.READY, 3, 2_000), self.believed())
+        self.assertFalse(self.incarnation.take(a_report(3, born=2_000)))
+        self.assertTrue(self.incarnation.take(a_report(4, born=2_000)))
+        self.assertEqual((BackendState.READY, 4, 2_000), self.believed())
 
     def test_clock_that_went_back_is_believed_after_some_heartbeats(self):
         self.incarnation.take(a_report(90, born=5_000))
