--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/members.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/members.py
@@ -37,7 +37,7 @@
 from fuchsiagap_node.core.wire.messages_call import Hello
 from fuchsiagap_standins.memory_nodes import (
     START_WALL,
-    network_and_store,
+    open_ground,
     quiet_wire,
     until,
 )
@@ -270,17 +270,14 @@
     profile : LinkProfile, optional
         Of all links.
     """
-    rng = random.Random(seed)
-    network, store = network_and_store(rng, profile)
-    async with trio.open_nursery() as nursery:
+    async with open_ground(seed, profile) as ground:
         yield Fleet(
-            rng=rng,
-            network=network,
-            store=store,
+            rng=ground.rng,
+            network=ground.network,
+            store=ground.store,
             cfg=cfg or MembershipSettings(),
-            nursery=nursery,
+            nursery=ground.nursery,
         )
-        nursery.cancel_scope.cancel()
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/memory_nodes.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/memory_nodes.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import random
-from dataclasses import replace
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -18,7 +19,7 @@
 from fuchsiagap_standins.platform import ObjectStore
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import AsyncIterator, Callable, Iterable
 
     from fuchsiagap_node.core.peers.handlers import Handlers
     from fuchsiagap_node.core.ports import BackendServer, Dial
@@ -105,20 +106,47 @@
     return network.dial_from(address)
 
 
-def network_and_store(
-    rng: random.Random, profile: LinkProfile | None = None
-) -> tuple[FakeNetwork, ObjectStore]:
-    """Return a network and a platform without anything on them.
+@dataclass(frozen=True, slots=True)
+class Ground:
+    """What the nodes of a fleet stand on.
 
     Parameters
     ----------
     rng : random.Random
-        Their seeds are drawn from it.
+        Of all randomness.
+    network : FakeNetwork
+        Connects them.
+    store : ObjectStore
+        The platform's store.
+    nursery : trio.Nursery
+        Holds their tasks.
+    """
+
+    rng: random.Random
+    network: FakeNetwork
+    store: ObjectStore
+    nursery: trio.Nursery
+
+
+@asynccontextmanager
+async def open_ground(
+    seed: int, profile: LinkProfile | None = None
+) -> AsyncIterator[Ground]:
+    """Open a network and a platform without anything on them; all stops at the end.
+
+    Parameters
+    ----------
+    seed : int
+        Of all randomness.
     profile : LinkProfile, optional
         Of all links.
     """
+    rng = random.Random(seed)
     network = FakeNetwork(random.Random(rng.getrandbits(64)), profile)
-    return network, ObjectStore(random.Random(rng.getrandbits(64)))
+    store = ObjectStore(random.Random(rng.getrandbits(64)))
+    async with trio.open_nursery() as nursery:
+        yield Ground(rng, network, store, nursery)
+        nursery.cancel_scope.cancel()
 
 
 def quiet_wire(hello: Hello, handlers: Handlers, stamp: int = 0) -> Wire:
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/node_fleet.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/node_fleet.py
@@ -30,7 +30,7 @@
     START_WALL,
     a_node_config,
     memory_ports,
-    network_and_store,
+    open_ground,
     until,
 )
 
@@ -222,14 +222,11 @@
     seed : int
         Of all randomness.
     """
-    rng = random.Random(seed)
-    network, store = network_and_store(rng)
-    async with trio.open_nursery() as nursery:
+    async with open_ground(seed) as ground:
         yield NodeFleet(
             graph=graph,
-            rng=rng,
-            network=network,
-            store=store,
-            nursery=nursery,
+            rng=ground.rng,
+            network=ground.network,
+            store=ground.store,
+            nursery=ground.nursery,
         )
-        nursery.cancel_scope.cancel()
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/settings_nodes.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/settings_nodes.py
@@ -17,7 +17,6 @@
 
 from __future__ import annotations
 
-import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, cast
@@ -35,12 +34,13 @@
     OPERATORS_TOKEN,
     a_node_config,
     memory_ports,
-    network_and_store,
+    open_ground,
     until,
 )
 from fuchsiagap_standins.testing import run_virtual
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import AsyncIterator, Callable, Iterable
 
     from fuchsiagap.core.calls.outcome import Answered, Refused, Unknown
@@ -223,13 +223,10 @@
     profile : LinkProfile, optional
         Of all links.
     """
-    rng = random.Random(seed)
-    network, store = network_and_store(rng, profile)
-    async with trio.open_nursery() as nursery:
+    async with open_ground(seed, profile) as ground:
         yield SettingsFleet(
-            rng=rng,
-            network=network,
-            store=store,
-            nursery=nursery,
+            rng=ground.rng,
+            network=ground.network,
+            store=ground.store,
+            nursery=ground.nursery,
         )
-        nursery.cancel_scope.cancel()
