--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
@@ -1,10 +1,13 @@
 """What the metrics page says a node believes."""
 
+import json
+
 import trio
 from testtools import TestCase
 
 from fuchsiagap_node.core.mesh.http_call import HttpCaller
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
+from fuchsiagap_standins.mesh.backend_server import Behaviour
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
 from fuchsiagap_standins.mesh.virtual import run_on_loopback
 
@@ -41,3 +44,29 @@
         self.assertGreater(after["fuchsiagap_store_heard_age_ms{}"], 2_000)
         share = 'fuchsiagap_admitted_share{service="certs",route="read"}'
         self.assertEqual(1, before[share])
+
+
+class TestLoadLines(TestCase):
+    def test_load_and_what_is_let_in_stand_in_one_line_a_second(self):
+        async def main():
+            async with a_deployment(a_route("read", priority=1)) as deployment:
+                host = deployment.add("certs", slots=2)
+                host.server.behave = lambda _: Behaviour(work=100.0)
+                await deployment.settle()
+                idle = host.node.tell.counts["events", "load"]
+                async with trio.open_nursery() as nursery:
+                    for number in range(120):
+                        nursery.start_soon(host.send, "/read/1", f"r{number}")
+                        await trio.sleep(0.025)
+                return idle, [json.loads(line) for line in host.node.tell.lines()]
+
+        idle, lines = run_on_loopback(main)
+        self.assertEqual(0, idle)
+        loads = [line for line in lines if line["event"] == "load"]
+        self.assertGreaterEqual(len(loads), 3)
+        full = max(loads, key=lambda line: line["offered"])
+        self.assertEqual((2, 2), (full["running"], full["places"]))
+        self.assertGreater(full["offered"], 2.0)
+        share, believed = full["let_in"]["certs read"]
+        self.assertLess(share, 1.0)
+        self.assertGreater(believed, 1.0)
