Count a call that reaches no server where it was made

Change: only a call whose last word came from where a server is makes the failure above it one of those below.

Test that failed before: test_call_that_reaches_no_server_counts_at_the_one_that_made_it (0.0 told where over 0.3 is asked for).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -14,6 +14,7 @@
 from fuchsiagap_node.core.mesh.frames import Call
 from fuchsiagap_node.core.mesh.outcome import (
     EXPIRED,
+    LINK_LOST,
     NO_BACKEND,
     Answered,
     MayHaveRun,
@@ -47,6 +48,8 @@
 # half of what they get, six tries answer 98 of 100 calls, and with them 88 of 100 trees
 # that need eight; two tries answer 75, and 10.
 _MAX_PLACEMENTS = 6
+# Reasons that tell of the way to the servers, not of them.
+_UNREACHED = frozenset({NO_BACKEND, LINK_LOST})
 
 
 class Placement:
@@ -148,6 +151,15 @@
             self._tell_parent(failed=True)
         self._withdraw()
 
+    def _has_reached_a_server(self) -> bool:
+        """Whether the last word came from where a server is, or this host is cut off.
+
+        A host that reaches none fails whatever runs on it: its callers are to see that,
+        go elsewhere and refuse what comes to nothing.
+        """
+        last = self._last
+        return isinstance(last, Answered) or last.reason not in _UNREACHED
+
     def _tell_parent(self, failed: bool) -> None:
         """Note at the request that makes this call how the call ended."""
         parent = self._parent_job
@@ -344,7 +356,7 @@
         if self._placing.in_progress.pop(self, 0) == 0:
             return
         failed = final.status >= 500 or final.status in PROMISES
-        self._tell_parent(failed)
+        self._tell_parent(failed and self._has_reached_a_server())
         took = self._placing.clock.now() - self._started
         self._placing.tell.answered(self._route.name, str(final.status), took)
         self._done(final)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_failing_below.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_failing_below.py
@@ -69,6 +69,23 @@
         self.assertGreater(stock, 0.1)
         self.assertEqual((0.0, 0.0), (pages, orders))
 
+    def test_call_that_reaches_no_server_counts_at_the_one_that_made_it(self):
+        # Its host is cut off from the service: callers have to see that, and go to
+        # another server or refuse what would come to nothing.
+        async def main():
+            async with a_deployment(*ROUTES) as deployment:
+                pages, orders = (deployment.add(r.name) for r in ROUTES[:2])
+                pages.server.on_run = a_call_of(pages, "orders")
+                orders.server.on_run = a_call_of(orders, "stock")
+                await deployment.settle()
+                for number in range(N_REQUESTS):
+                    await pages.send("/pages/1", f"p{number}", wait=400.0)
+                return [host.node.door.failing() for host in (pages, orders)]
+
+        at_pages, at_orders = run_on_loopback(main)
+        self.assertEqual(0.0, at_pages)
+        self.assertGreater(at_orders, 0.3)
+
     def test_failed_call_is_repeated_where_it_failed_alone(self):
         async def main():
             async with a_deployment(*ROUTES) as deployment:
