--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -10,6 +10,7 @@
 from fuchsiagap.core.door.incarnation import BackendState, Incarnation
 from fuchsiagap.core.door.offered import OfferedLoad
 from fuchsiagap.core.door.queue import DoorQueue
+from fuchsiagap.core.door.turns import RankTurns
 from fuchsiagap_node.core.mesh.backend_conn import BackendConn
 from fuchsiagap_node.core.mesh.idle_conns import IdleConns
 from fuchsiagap_node.core.mesh.outcome import (
@@ -60,6 +61,8 @@
     ----------
     leaving : bool
         Whether this node is being stopped and takes nothing new.
+    turns : RankTurns
+        What each rank got.
     changed : callable
         Called when what the door says of its server changes at once.
     """
@@ -70,6 +73,7 @@
         self._tell = teller
         self._queue: DoorQueue[Job] = DoorQueue(1)
         self._offered = OfferedLoad()
+        self.turns = RankTurns()
         self._incarnation = Incarnation()
         self._idle = IdleConns()
         self._at_server: dict[Job, None] = {}
@@ -234,7 +238,9 @@
         if not instance or instance != call.instance:
             job.reply(NotRun(LEAVING if self.known_instance() else NO_BACKEND))
             return
-        self._offered.note_arrival(self._clock.now())
+        now = self._clock.now()
+        self._offered.note_arrival(now)
+        self.turns.note_arrival(call.rank, now)
         if self._queue.has_place():
             self._start(job)
             return
@@ -279,6 +285,7 @@
             job.reply(NotRun(NO_BACKEND))
             return
         self._queue.running += 1
+        self.turns.note_start(job.call.rank, now)
         self._at_server[job] = None
         self._by_id[job.call.request_id] = job
         job.started = now
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -111,6 +111,7 @@
         share = self._admission.admitted_share(service, route)
         if self._admission.admits(route, share):
             return None
+        self._placing.served.note_refused(route.name, self._placing.clock.now())
         retry_after = self._admission.retry_after(route)
         self._tell.answered(route.name, "refused", 0.0)
         self._tell.counts["refused_at_entry", f"rank-{route.priority}"] += 1
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -239,6 +239,15 @@
         }
         if not door.load and not refusing:
             return
+        now = self._clock.now()
+        served = {
+            route: (round(kind.share(), 2), round(kind.success(), 2))
+            for route, kind in self._placing.served.all(now)
+        }
+        ranks = {
+            rank: (round(turns.arrived), round(turns.started))
+            for rank, turns in door.turns.all(now)
+        }
         self.tell.event(
             "load",
             running=door.running,
@@ -247,7 +256,9 @@
             offered=round(door.offered(), 1),
             failing=round(door.failing(), 2),
             service_ms=round(door.service_ms, 1),
+            ranks=ranks,
             let_in=refusing,
+            served=served,
         )
 
     async def run(self) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -357,7 +357,10 @@
             return
         failed = final.status >= 500 or final.status in PROMISES
         self._tell_parent(failed and self._has_reached_a_server())
-        took = self._placing.clock.now() - self._started
+        now = self._placing.clock.now()
+        if self._parent is None:
+            self._placing.served.note_end(self._route.name, final.status < 500, now)
+        took = now - self._started
         self._placing.tell.answered(self._route.name, str(final.status), took)
         self._done(final)
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from fuchsiagap.core.placement.choice import choose, remote_penalty
+from fuchsiagap.core.pressure.served import ServedShares
 from fuchsiagap.core.retries.shares import BudgetShare
 
 if TYPE_CHECKING:
@@ -53,6 +54,8 @@
     ----------
     in_progress : dict of InProgress to None
         Requests without a final answer.
+    served : ServedShares
+        What the callers of this node got.
     caller_line : bytes
         Header line that names the service on whose host requests begin here.
     """
@@ -76,6 +79,7 @@
         self.clock = clock
         self.tell = teller
         self.in_progress: dict[InProgress, None] = {}
+        self.served = ServedShares()
         self.caller_line = b"%s: %s\r\n" % (cfg.names.caller, cfg.service.encode())
         self.target_name = cfg.names.target
 
