Let in a share of requests evenly over their callers too

Cause: a request was let in whenever the shares of those before it came to one, so callers in steady rotation met it always at the same place of their round.

Ruled out: draws of their own for each request, which swing by a third at ten requests a second; a threshold drawn anew at each request, which is met early and keeps the step (11 of 40 due); giving back what was let in and failed, which put callers that open a connection each time behind those that keep one (2.9 to 7.3 of 4.8 due).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.pressure.evenly import EvenShares
 from fuchsiagap.core.pressure.level import RefusalLevel
 from fuchsiagap.core.pressure.order import RefusalOrder
 
@@ -12,6 +13,7 @@
     from collections.abc import Iterator
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap.core.pressure.evenly import CallerTurn
     from fuchsiagap.core.routes.model import Route
     from fuchsiagap_node.core.mesh.pressures import Pressures
     from fuchsiagap_node.core.mesh.telling import Teller
@@ -52,7 +54,7 @@
         self._levels: dict[tuple[str, str], RefusalLevel] = {}
         self._order = RefusalOrder()
         self._stepped_at = clock.now()
-        self._credit: dict[str, float] = {}
+        self._even = EvenShares(rng)
 
     def step(self) -> None:
         """Let each level follow the fullness of its service."""
@@ -99,14 +101,11 @@
             steps = self._order.steps_from_worst(route)
             yield service, route, 1.0 if level.cut == 0.0 else level.admitted(steps)
 
-    def admits(self, route: Route, share: float) -> bool:
+    def admits(self, route: Route, share: float, turn: CallerTurn) -> bool:
         """Return whether one request is let in.
 
-        Requests are let in evenly: draws of their own for each would swing by a
-        third at the ten requests a second that one node sees of a route. Whether a
-        caller has been refused before makes no difference: each that is let in keeps
-        out another one, and nothing in a request tells the two apart where callers
-        differ in how long they wait.
+        Whether a caller comes back after a refusal makes no difference: nothing in a
+        request tells so where callers differ in how long they wait.
 
         Parameters
         ----------
@@ -114,14 +113,10 @@
             Its route.
         share : float
             Admitted share of its rank.
+        turn : CallerTurn
+            What its caller is owed.
         """
-        if share >= 1.0:
-            return True
-        credit = self._credit.get(route.name, self._rng.random())
-        credit += share
-        admitted = credit >= 1.0
-        self._credit[route.name] = credit - admitted
-        return admitted
+        return self._even.admits(route.name, share, turn)
 
     def retry_after(self, route: Route) -> Milliseconds:
         """Return when a refused caller may come back."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -8,6 +8,7 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap.core.pressure.evenly import CallerTurn
 from fuchsiagap.core.routes.model import CallerLimits
 from fuchsiagap_node.core.mesh.final import Final
 from fuchsiagap_node.core.mesh.http_request import BadRequest, RequestReader
@@ -134,10 +135,10 @@
         """Return a reader under the limits in force."""
         return RequestReader(self._cfg.names, self.limits)
 
-    def begin(self, req: Request, done: OnFinal) -> Placement | None:
+    def begin(self, req: Request, done: OnFinal, turn: CallerTurn) -> Placement | None:
         """Begin to answer a request; a fault in it is answered, too."""
         try:
-            return self._entry.begin(req, done)
+            return self._entry.begin(req, done, turn)
         except Exception as exc:
             self._tell.fault("entry", exc)
             done(Final(502))
@@ -174,6 +175,7 @@
         self._reader = edge.reader()
         self._heard_at = edge.now()
         self._open: deque[_Exchange] = deque()
+        self._turn = CallerTurn()
         self._rest = b""
         self._room = trio.Event()
         self._ended = False
@@ -226,7 +228,7 @@
             exchange.final = final
             self._flush()
 
-        exchange.placement = self._edge.begin(req, done)
+        exchange.placement = self._edge.begin(req, done, self._turn)
 
     def _queue(self, req: Request | None) -> _Exchange:
         exchange = _Exchange(req)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fuchsiagap.core.pressure.evenly import CallerTurn
     from fuchsiagap.core.routes.model import Route
     from fuchsiagap.core.routes.table import RouteTable, ShareRotation
     from fuchsiagap_node.core.mesh.admission import Admission
@@ -64,7 +65,7 @@
         self.stopping = False
         self.parent_of: Callable[[str], Job | None] = _no_parent
 
-    def begin(self, req: Request, done: OnFinal) -> Placement | None:
+    def begin(self, req: Request, done: OnFinal, turn: CallerTurn) -> Placement | None:
         """Refuse a request or begin to place it.
 
         Parameters
@@ -74,6 +75,8 @@
         done : callable
             Told the final answer, once, now or later: the backend server's, or a
             truthful word that there is none.
+        turn : CallerTurn
+            What its caller is owed.
 
         Returns
         -------
@@ -96,7 +99,7 @@
         if parent is not None:
             self._pressures.note_call(parent.call.route, service, route.name)
         else:
-            refusal = self._refusal(req, route, service)
+            refusal = self._refusal(req, route, service, turn)
             if refusal is not None:
                 done(refusal)
                 return None
@@ -104,12 +107,14 @@
         placement.start()
         return placement
 
-    def _refusal(self, req: Request, route: Route, service: str) -> Final | None:
+    def _refusal(
+        self, req: Request, route: Route, service: str, turn: CallerTurn
+    ) -> Final | None:
         """Return the refusal of a new request for which there is no room."""
         if self.stopping:
             return Final(503, retry_after=RETRY_AFTER_MS)
         share = self._admission.admitted_share(service, route)
-        if self._admission.admits(route, share):
+        if self._admission.admits(route, share, turn):
             return None
         self._placing.served.note_refused(route.name, self._placing.clock.now())
         retry_after = self._admission.retry_after(route)
