Let in what is asked for too seldom to have a place among the kinds

Cause, found by reading: a kind that was not asked for within 5 s was taken for the worst in use, so the first request of an urgent kind that comes seldom met the share of the worst one; with the room by load it kept that share for a step of the levels.

Change: such a kind is let in; from its next request on it has its place. Test: an urgent kind amid a surge (fails before); beside it one on what a kind keeps of what all get.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -80,11 +80,15 @@
         for (service, route), level in self._levels.items():
             was_open = level.cut == 0.0
             fullness = self._pressures.of(service, route)
-            step = steps.get(route, 0)
-            most = deepest_cut(step, kinds, kept)
+            step = steps.get(route)
+            most = deepest_cut(step or 0, kinds, kept)
             level.step(fullness, min(elapsed, 5 * STEP_MS), worst, most)
-            room = level.room(is_worst=step == 0)
-            self._shares[service, route] = share_of(step, room, kinds, kept)
+            if step is None:
+                # Asked for too seldom to have a place among the kinds, or to matter.
+                self._shares[service, route] = 1.0
+            else:
+                room = level.room(is_worst=step == 0)
+                self._shares[service, route] = share_of(step, room, kinds, kept)
             if was_open != (level.cut == 0.0):
                 self._tell.event(
                     "admission-changed",
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_admission.py
@@ -17,6 +17,31 @@
             service.step([2.0 * let_in])
         self.assertAlmostEqual(4.5, let_in, delta=1.5)
 
+    def test_urgent_kind_that_is_seldom_asked_for_is_let_in_amid_a_surge(self):
+        service = AService()
+        read, repair = a_route("read", priority=2), a_route("repair", priority=0)
+        service.let_in(repair, 1)
+        for _ in range(200):
+            service.let_in(read, 20)
+            service.step([30.0])
+        self.assertEqual(1, service.let_in(repair, 1))
+
+    def test_kind_keeps_a_part_of_what_all_are_served(self):
+        # Eight of twenty requests can be served, and eight of the twenty are urgent.
+        service = AService()
+        read, write = a_route("read", priority=5), a_route("write", priority=0)
+        counts = {"read": 0, "write": 0}
+        for step in range(600):
+            reads, writes = service.let_in(read, 12), service.let_in(write, 8)
+            service.step([10.0 * (reads + writes) / 8.0])
+            if step >= 300:
+                counts["read"] += reads
+                counts["write"] += writes
+        read_share, write_share = counts["read"] / 3_600, counts["write"] / 2_400
+        self.assertGreater(read_share, 0.25 * 0.4)
+        self.assertLess(read_share, 0.5 * 0.4)
+        self.assertGreater(write_share, 0.7)
+
     def test_refused_caller_can_come_back_in_time(self):
         admission = AService().admission
         for objective in (150.0, 250.0, 1_200.0):
