Show the share of a route from its first request on

Cause: the shares are computed at each step of the levels, and a route that had just been asked for had none until the next, up to 100 ms later: the metrics page missed it.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -109,10 +109,12 @@
 
     def admitted_share(self, service: str, route: Route) -> float:
         """Return the share of a route's requests that is let in now."""
-        if (service, route.name) not in self._levels:
-            self._levels[service, route.name] = RefusalLevel()
+        asked = service, route.name
+        if asked not in self._levels:
+            self._levels[asked] = RefusalLevel()
+            self._shares[asked] = 1.0
         self._order.note_request(route, self._clock.now())
-        return self._shares.get((service, route.name), 1.0)
+        return self._shares[asked]
 
     def shares(self) -> Iterator[tuple[str, str, float]]:
         """Yield service, route and admitted share of what was asked for so far."""
