Let a door tell more load where trees run out of time waiting

Hypothesis: the load is steered by how full places are, at 97 of 100, not by whether what waits can afford it. Trees of ten calls with 0.3 s to spare lose seven of ten at the doors of the fullest service, with their work.

Change: a door counts calls within trees that run out of time while they wait, rank by rank, and its load counts up to 1.3 times as much for them. What trees make is learnt from whole ones: one that was given up made half of its calls, and counted as half as heavy.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -8,6 +8,7 @@
 
 from fuchsiagap.core.door.health import ServerHealth
 from fuchsiagap.core.door.incarnation import BackendState, Incarnation
+from fuchsiagap.core.door.lost import LostTrees
 from fuchsiagap.core.door.offered import OfferedLoad
 from fuchsiagap.core.door.queue import DoorQueue
 from fuchsiagap.core.door.turns import RankTurns
@@ -74,6 +75,7 @@
         self._queue: DoorQueue[Job] = DoorQueue(1)
         self._offered = OfferedLoad()
         self.turns = RankTurns()
+        self._lost = LostTrees()
         self._incarnation = Incarnation()
         self._idle = IdleConns()
         self._at_server: dict[Job, None] = {}
@@ -133,7 +135,10 @@
         queue = self._queue
         if not queue.service_ms:
             return queue.load
-        return self._offered.places(self._clock.now(), queue.service_ms, queue.waiting)
+        places = self._offered.places(
+            self._clock.now(), queue.service_ms, queue.waiting
+        )
+        return places * self._lost.strain(self._clock.now())
 
     def is_warming(self) -> bool:
         """Whether the backend server is in its warm-up."""
@@ -246,6 +251,8 @@
         now = self._clock.now()
         self._offered.note_arrival(now)
         self.turns.note_arrival(call.rank, now)
+        if call.is_call:
+            self._lost.note_arrival(call.rank, now)
         if self._queue.has_place():
             self._start(job)
             return
@@ -267,6 +274,7 @@
     def cancel(self, job: Job) -> None:
         """Drop a call that nobody waits for; what must not repeat is left to end."""
         if job.waiting is not None and self._queue.drop(job.waiting):
+            self._note_lost(job)
             job.reply(NotRun(CANCELLED))
         elif job.conn is not None and job.call.idempotent:
             self._break_off(job, MayHaveRun(CANCELLED))
@@ -393,9 +401,14 @@
             else:
                 waiting.job.reply(NotRun(LEAVING))
 
+    def _note_lost(self, job: Job) -> None:
+        if job.call.is_call:
+            self._lost.note_lost(job.call.rank, self._clock.now())
+
     def _expire(self, now: Milliseconds) -> None:
         """Give up calls whose time has passed, and connections long idle."""
         for waiting in self._queue.expired(now):
+            self._note_lost(waiting.job)
             waiting.job.reply(NotRun(EXPIRED))
         late = [j for j in self._at_server if now >= j.deadline + _LAST_WORD_MS]
         for job in late:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pressures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pressures.py
@@ -73,7 +73,7 @@
 
     def note_reply(self, service: str, route: str, below: Below) -> None:
         """Take in what a reply says of the services below its route."""
-        fullness, calls, _ = below
+        fullness, calls, failed = below
         now = self._clock.now()
         known = self._below.get((service, route))
         if known is None:
@@ -81,7 +81,9 @@
             return
         weight = 1.0 - math.exp((known.at - now) / _SMOOTHED_MS)
         known.value += (fullness - known.value) * weight
-        known.calls += (calls - known.calls) * _CALLS_WEIGHT
+        if not failed or calls > known.calls:
+            # A tree that was given up says less than what a whole one makes.
+            known.calls += (calls - known.calls) * _CALLS_WEIGHT
         known.at = now
 
     def note_call(self, parent_route: str, service: str, route: str) -> None:
