--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -40,6 +40,7 @@
     MUTE = "mute"
     LATE_EXTRA = "late extra"
     UNFRAMED = "unframed"
+    CRASH = "crash"
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +92,10 @@
     on_run : callable or None
         Told the identifier of a request that runs, and awaited before it is answered:
         for calls of its own. It may raise `CallFailed`.
+    is_up : bool
+        Whether it takes connections.
+    on_crash : callable or None
+        Told that a request has crashed the server.
     """
 
     def __init__(
@@ -105,11 +110,30 @@
         self.connections = 0
         self.behave: Callable[[Request], Behaviour] = lambda _: Behaviour()
         self.on_run: Callable[[str], Awaitable[None]] | None = None
+        self.on_crash: Callable[[], None] | None = None
+        self.is_up = True
+        self._life = trio.CancelScope()
+        self._started = trio.Event()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
-        async with trio.open_nursery() as nursery:
-            await accept_all(listen(self.address), self._serve, nursery)
+        """Serve until cancelled, from each start to the next crash."""
+        while True:
+            with trio.CancelScope() as self._life:
+                async with trio.open_nursery() as nursery:
+                    await accept_all(listen(self.address), self._serve, nursery)
+            await self._started.wait()
+
+    def crash(self) -> None:
+        """Close the listener and all connections; nothing more is answered."""
+        self.is_up = False
+        self._started = trio.Event()
+        self._life.cancel()
+
+    def start_again(self, instance: str) -> None:
+        """Serve as a new incarnation after a crash."""
+        self.instance = instance
+        self.is_up = True
+        self._started.set()
 
     async def _serve(self, stream: Stream) -> None:
         self.connections += 1
@@ -133,6 +157,10 @@
         if not await self._work(stream, behaviour.work):
             self.cancelled.append(request_id)
             raise BrokenStream("the caller left")
+        if behaviour.manner is Manner.CRASH and self.is_up:
+            self.crash()
+            if self.on_crash is not None:
+                self.on_crash()
         if self.on_run is not None:
             try:
                 await self.on_run(request_id)
--- /dev/null
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/crash_play.py
@@ -0,0 +1,278 @@
+"""A service whose servers crash on one request: real nodes in virtual time."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import trio
+
+from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap_node.core.mesh.stream import BrokenStream
+from fuchsiagap_standins.mesh.backend_server import Behaviour, Manner
+from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
+from fuchsiagap_standins.mesh.virtual import run_in_memory
+
+if TYPE_CHECKING:
+    from fuchsiagap_node.core.mesh.http_request import Request
+    from fuchsiagap_standins.mesh.deployment import Deployment, Host
+
+POISON = b"poison"
+_PLACES = "abc"
+# Seconds between the starts of two servers that crashed at the same moment, at most.
+_START_SPREAD_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class CrashScenario:
+    """What is played.
+
+    Parameters
+    ----------
+    n_nodes, n_data_centres : int
+        Nodes of the one service, and the data centres that they are spread over.
+    seconds : float
+        Length of the play.
+    n_poison_callers : int
+        Callers that send the request on which servers crash; 0 for none.
+    poison_every_s : float
+        Seconds between two requests of such a caller.
+    crash_after_ms : float
+        Milliseconds from the begin of the request to the crash.
+    down_s : float
+        Seconds until a crashed server starts again.
+    n_other_crashes : int
+        Crashes for other reasons, spread over the first half of the play.
+    restart_every_s : float
+        Seconds between two nodes that are killed and started again; 0 for none.
+    n_callers : int
+        Callers of other requests.
+    every_s : float
+        Seconds between two requests of such a caller.
+    work_ms : float
+        Milliseconds of work of such a request, on average.
+    slots : int
+        Requests that a server runs at the same time.
+    is_deep : bool
+        Whether the poison reaches the servers as a call of servers of another service.
+    """
+
+    n_nodes: int = 12
+    n_data_centres: int = 3
+    seconds: float = 24.0
+    n_poison_callers: int = 2
+    poison_every_s: float = 0.35
+    crash_after_ms: float = 30.0
+    down_s: float = 3.0
+    n_other_crashes: int = 0
+    restart_every_s: float = 0.0
+    n_callers: int = 60
+    every_s: float = 0.35
+    work_ms: float = 40.0
+    slots: int = 16
+    is_deep: bool = False
+
+
+@dataclass(slots=True)
+class CrashRecord:
+    """What servers and callers saw.
+
+    Attributes
+    ----------
+    crashed_at : list of float
+        Times at which servers crashed on the poison.
+    arrived_at : list of float
+        Times at which a server began to run the poison.
+    n_other_crashes : int
+        Crashes for other reasons.
+    answers : list of tuple
+        Kind, time and status of each other request; status 0 without an answer.
+    poison_statuses : list of int
+        What the callers of the poison got.
+    """
+
+    crashed_at: list[float] = field(default_factory=list)
+    arrived_at: list[float] = field(default_factory=list)
+    n_other_crashes: int = 0
+    answers: list[tuple[str, float, int]] = field(default_factory=list)
+    poison_statuses: list[tuple[float, int]] = field(default_factory=list)
+
+    def third_crash(self) -> float:
+        """Return when the third server had crashed; infinity if none has."""
+        return self.crashed_at[2] if len(self.crashed_at) > 2 else float("inf")
+
+    def late_arrivals(self, contact_s: float) -> int:
+        """Return the arrivals of the poison later than `contact_s` after then."""
+        since = self.third_crash() + contact_s
+        return sum(at > since for at in self.arrived_at)
+
+    def served(self, since: float) -> dict[str, float]:
+        """Return the share of each kind that was answered, of those sent since."""
+        shares = {}
+        for kind in sorted({kind for kind, _, _ in self.answers}):
+            found = [s for k, at, s in self.answers if k == kind and at >= since]
+            shares[kind] = sum(s == 200 for s in found) / max(len(found), 1)
+        return shares
+
+
+def play_crashes(scenario: CrashScenario, seed: int) -> CrashRecord:
+    """Play a scenario in virtual time.
+
+    Parameters
+    ----------
+    scenario : CrashScenario
+        What is played.
+    seed : int
+        Decides who asks where and when.
+    """
+
+    async def main() -> CrashRecord:
+        routes = [
+            a_route("read", timeout=2_000.0),
+            a_route("write", timeout=2_000.0, idempotent=False),
+            a_route("front", service="front", timeout=2_000.0),
+        ]
+        async with a_deployment(*routes) as deployment:
+            return await _Play(scenario, seed, deployment).run()
+
+    return run_in_memory(main, seed)
+
+
+class _Play:
+    """One play of a scenario."""
+
+    def __init__(
+        self, scenario: CrashScenario, seed: int, deployment: Deployment
+    ) -> None:
+        self._scenario = scenario
+        self._rng = random.Random(seed)
+        self._deployment = deployment
+        self._record = CrashRecord()
+        self._numbers = itertools.count(1)
+        self._hosts: list[Host] = []
+        self._bodies: dict[str, bytes] = {}
+
+    async def run(self) -> CrashRecord:
+        """Play it and return what was seen."""
+        scenario = self._scenario
+        self._hosts = [self._add("certs", n) for n in range(scenario.n_nodes)]
+        if scenario.is_deep:
+            self._hosts += [self._add_front(n) for n in range(3)]
+        await self._deployment.settle()
+        async with trio.open_nursery() as nursery:
+            for _ in range(scenario.n_poison_callers):
+                nursery.start_soon(self._send_poison)
+            for number in range(scenario.n_callers):
+                nursery.start_soon(self._send_others, number)
+            if scenario.n_other_crashes:
+                nursery.start_soon(self._crash_others)
+            if scenario.restart_every_s:
+                nursery.start_soon(self._restart_nodes)
+            await trio.sleep(scenario.seconds)
+            nursery.cancel_scope.cancel()
+        return self._record
+
+    def _add(self, service: str, number: int) -> Host:
+        place = _PLACES[number % self._scenario.n_data_centres]
+        host = self._deployment.add(
+            service, f"hall-{place}", slots=self._scenario.slots
+        )
+        host.server.behave = self._behave
+        host.server.on_crash = lambda: self._crashed(host)
+        return host
+
+    def _add_front(self, number: int) -> Host:
+        """Add a server that makes one call with the body that it got."""
+        host = self._add("front", number)
+
+        async def call(request_id: str) -> None:
+            body = self._bodies.pop(request_id)
+            method = "POST" if body else "GET"
+            await host.send("/read/1", f"{request_id}.1", method=method, body=body)
+
+        host.server.on_run = call
+        return host
+
+    def _behave(self, req: Request) -> Behaviour:
+        work = self._scenario.work_ms * self._rng.uniform(0.5, 1.5)
+        if req.target.startswith(b"/front/"):
+            request_id = req.headers.partition(b"Call-Id: ")[2].partition(b"\r")[0]
+            self._bodies[request_id.decode()] = req.body
+            return Behaviour(work=work)
+        if req.body != POISON:
+            return Behaviour(work=work)
+        self._record.arrived_at.append(trio.current_time())
+        return Behaviour(Manner.CRASH, self._scenario.crash_after_ms)
+
+    def _crashed(self, host: Host) -> None:
+        self._record.crashed_at.append(trio.current_time())
+        self._start_later(host)
+
+    def _start_later(self, host: Host) -> None:
+        """Start a crashed server again as a new incarnation."""
+
+        async def start() -> None:
+            spread = self._rng.uniform(0.0, _START_SPREAD_S)
+            await trio.sleep(self._scenario.down_s + spread)
+            host.server.start_again(f"i-{next(self._numbers)}")
+
+        self._deployment.nursery.start_soon(start)
+
+    async def _crash_others(self) -> None:
+        """Crash servers at random, whatever they run."""
+        scenario = self._scenario
+        pause = scenario.seconds / 2.0 / scenario.n_other_crashes
+        for _ in range(scenario.n_other_crashes):
+            up = [h for h in self._hosts if h.server.is_up]
+            if up:
+                host = self._rng.choice(up)
+                host.server.crash()
+                self._record.n_other_crashes += 1
+                self._start_later(host)
+            await trio.sleep(pause)
+
+    async def _restart_nodes(self) -> None:
+        """Kill one node after the other and start each again."""
+        for index in itertools.cycle(range(self._scenario.n_nodes)):
+            await trio.sleep(self._scenario.restart_every_s)
+            self._hosts[index] = self._deployment.restart(self._hosts[index])
+
+    async def _send_poison(self) -> None:
+        path = "/front/1" if self._scenario.is_deep else "/read/1"
+        while True:
+            started = trio.current_time()
+            status = await self._send(path, POISON)
+            self._record.poison_statuses.append((started, status))
+            await self._pause(self._scenario.poison_every_s)
+
+    async def _send_others(self, number: int) -> None:
+        """Send requests of one kind, the same ones or each with a body of its own."""
+        kind = ("plain", "other body", "own body", "write")[number % 4]
+        path = "/write/1" if kind == "write" else "/read/1"
+        await self._pause(self._scenario.every_s)
+        while True:
+            started = trio.current_time()
+            own = f"{number}-{next(self._numbers)}".encode()
+            body = {"plain": b"", "other body": b"another"}.get(kind, own)
+            status = await self._send(path, body)
+            self._record.answers.append((kind, started, status))
+            await self._pause(self._scenario.every_s)
+
+    async def _pause(self, mean_s: float) -> None:
+        await trio.sleep(mean_s * self._rng.uniform(0.7, 1.3))
+
+    async def _send(self, path: str, body: bytes) -> int:
+        """Send a request to any node; return its status, 0 without an answer."""
+        host = self._rng.choice(self._hosts)
+        method = "POST" if body else "GET"
+        request_id = f"r{next(self._numbers)}"
+        wait = 2.0 * MS_PER_S
+        with trio.move_on_after(wait / MS_PER_S + 0.5):
+            try:
+                answer = await host.send(path, request_id, wait, method, body)
+            except BrokenStream:
+                return 0
+            return 0 if answer is None else answer.status
+        return 0
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -243,7 +243,8 @@
     """Report once a second while the server is ready."""
     door = host.node.door
     while True:
-        if door.instance() or door.known_instance() != host.server.instance:
+        is_known = door.known_instance() == host.server.instance
+        if host.server.is_up and (door.instance() or not is_known):
             host.report()
         await trio.sleep(1.0)
 
