Log which requests a backend server ran when it crashed

The logs said that connections broke, not that the server had crashed, nor what it ran: they could not tell a request that crashes servers from overload that takes requests with it.

The node beside a server now tells a crash from a planned end: requests that ended without an answer are remembered until the server answers another one; once it has closed all its connections it is dialled, and a refused dial, silence, or another incarnation shows the crash. The line `backend-crashed` names what it ran by fingerprints, which repeats of a request share; calls carry them.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -28,6 +28,7 @@
     Outcome,
 )
 from fuchsiagap_node.core.mesh.paid_repeats import PaidRepeats
+from fuchsiagap_node.core.mesh.server_crashes import ServerCrashes
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
@@ -98,6 +99,7 @@
         self._nursery: trio.Nursery | None = None
         self._usable = ""
         self._health = ServerHealth(clock.now())
+        self._crashes = ServerCrashes(clock, teller, self._at_work)
         self._warm_at = 0.0
         self._typical_ms = 0.0
         self._n_timed = 0
@@ -190,6 +192,7 @@
         same = old is not None and old.is_same_start(report)
         if same and old is not None and old.state is report.state:
             return
+        self._crashes.follow(report, same)
         if not same:
             self._forget_earlier(old, report)
         self._tell.event(
@@ -229,6 +232,7 @@
             return
         report = self._incarnation.report
         assert report is not None
+        self._crashes.refute(report)
         self._follow(report)
         self._health.forget_failures()
         self._tell.event(
@@ -258,7 +262,10 @@
 
     def look(self) -> None:
         """Give up what is late, and notice that the server has come or gone."""
-        self._expire(self._clock.now())
+        now = self._clock.now()
+        self._expire(now)
+        if not self._health.is_heard(now, self._cfg.bounds.heartbeat):
+            self._crashes.take_silence()
         usable = self.instance()
         if usable != self._usable:
             self._usable = usable
@@ -356,12 +363,7 @@
         """Own one connection, from its first call until it is closed."""
         try:
             if await self._open(conn, job):
-                while not conn.closed:
-                    outcome = await conn.read()
-                    if conn.silent:
-                        self._close_older(conn)
-                    if outcome is not None:
-                        self._take_outcome(conn, outcome)
+                await self._read(conn)
         except Exception as exc:
             self._tell.fault("backend-connection", exc)
             conn.close()
@@ -370,6 +372,38 @@
         finally:
             conn.close()
             self._idle.forget(conn)
+            self._check_server()
+
+    async def _read(self, conn: BackendConn) -> None:
+        """Read the answers of a connection until it is closed."""
+        while not conn.closed:
+            outcome = await conn.read()
+            if conn.silent:
+                self._close_older(conn)
+            if outcome is not None:
+                self._take_outcome(conn, outcome)
+
+    def _check_server(self) -> None:
+        """Dial a server that has closed all connections: a crash is known at once."""
+        is_open = bool(self._carried) or len(self._idle) > 0
+        if self._crashes.is_doubted and not is_open and self._nursery is not None:
+            self._nursery.start_soon(self._dial_to_check)
+
+    async def _dial_to_check(self) -> None:
+        """Open a connection; keep it for the next call if the server takes it."""
+        conn = BackendConn(self._cfg, self._clock)
+        try:
+            await conn.open()
+            conn.idle_since = self._clock.now()
+            self._idle.keep(conn)
+            await self._read(conn)
+        except BrokenStream as exc:
+            self._unreachable(exc)
+        except Exception as exc:
+            self._tell.fault("backend-check", exc)
+        finally:
+            conn.close()
+            self._idle.forget(conn)
 
     def _close_older(self, silent: BackendConn) -> None:
         """Close the idle connections that share the fate of one that fell silent."""
@@ -384,7 +418,7 @@
             await conn.open()
         except BrokenStream as exc:
             if job.conn is conn:
-                self._unreachable(str(exc))
+                self._unreachable(exc)
                 self._settle(job, NotRun(f"no connection: {exc}"))
             return False
         if job.conn is not conn or conn.closed:
@@ -403,6 +437,7 @@
         """Settle the call of a connection, and keep the connection if it is whole."""
         conn.call = None
         job = self._carried.get(conn)
+        self._crashes.take_answer(outcome)
         if not conn.closed:
             self._idle.keep(conn)
         if job is not None:
@@ -418,6 +453,8 @@
         if self._by_id.get(job.call.request_id) is job:
             del self._by_id[job.call.request_id]
         self._note(job, outcome)
+        if isinstance(outcome, MayHaveRun):
+            self._crashes.take_unanswered(job)
         if isinstance(outcome, NotRun) and outcome.reason == OTHER_INCARNATION:
             self._refute(job.call.instance)
         job.reply(outcome)
@@ -445,12 +482,21 @@
             self._break_off(job, MayHaveRun(EXPIRED))
         self._idle.close_outlived(now)
 
-    def _unreachable(self, cause: str) -> None:
+    def _unreachable(self, cause: BrokenStream) -> None:
         """Leave a server alone that took no connection."""
         self._health.note_unreachable(self._clock.now())
-        self._tell.event("backend-unreachable", cause=cause)
+        self._tell.event("backend-unreachable", cause=str(cause))
+        self._crashes.take_unreachable(cause)
         self.changed()
 
+    def _at_work(self) -> frozenset[bytes]:
+        """Return the fingerprints of the requests that the server has now."""
+        return frozenset(
+            job.call.fingerprint
+            for job in self._at_server
+            if job.conn is not None and job.conn.call is not None
+        )
+
     def _note(self, job: Job, outcome: Outcome) -> None:
         """Learn from an outcome how long the server takes, and how well it does."""
         queue = self._queue
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -69,6 +69,7 @@
                 m.idempotent,
                 m.request_id,
                 m.route,
+                m.fingerprint,
             ]
         case Reply() as reply:
             return _reply_fields(reply)
@@ -206,6 +207,7 @@
         _WHOLE,
         _TRUTH,
         *2 * (_TEXT,),
+        _BYTES,
     ),
     _CANCEL: (_WHOLE,),
     _PING: (),
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_names.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_names.py
@@ -43,6 +43,8 @@
         On a health answer or a misdirected one: incarnation that answered.
     signature : bytes
         On an answer: the backend server made it.
+    identity : tuple of bytes
+        Headers by which callers say who they are; repeats of a request share them.
     """
 
     request_id: bytes = b"Call-Id"
@@ -53,3 +55,4 @@
     load: bytes = b"Load"
     instance: bytes = b"Incarnation"
     signature: bytes = b"Signature"
+    identity: tuple[bytes, ...] = (b"Authorization", b"X-Api-Key", b"From")
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
@@ -32,6 +32,8 @@
         Milliseconds that the caller waits; None if it did not say.
     keep_alive : bool
         Whether the connection may be used again.
+    identity : tuple of bytes, default=()
+        Header lines that name the caller.
     """
 
     method: bytes
@@ -42,6 +44,7 @@
     request_id: str
     wait: float | None
     keep_alive: bool
+    identity: tuple[bytes, ...] = ()
 
 
 class BadRequest(Exception):
@@ -78,6 +81,7 @@
         )
         self._request_id = names.request_id.lower()
         self._deadline = names.deadline.lower()
+        self._identifying = frozenset(name.lower() for name in names.identity)
         self._limits = limits
         self._parser = httptools.HttpRequestParser(self)
         self._done: list[Request] = []
@@ -89,6 +93,7 @@
     def _reset(self) -> None:
         self._target = b""
         self._lines: list[bytes] = []
+        self._identity: list[bytes] = []
         self._dropped: set[bytes] = set()
         self._host = ""
         self._id = ""
@@ -142,7 +147,10 @@
         elif low in HOP_HEADERS:
             self._take_hop(low, value)
             return
-        self._lines.append(name + b": " + value + b"\r\n")
+        line = name + b": " + value + b"\r\n"
+        if low in self._identifying:
+            self._identity.append(low + b":" + value)
+        self._lines.append(line)
 
     def _take_hop(self, low: bytes, value: bytes) -> None:
         if low == b"connection":
@@ -185,6 +193,7 @@
                 self._id,
                 self._wait,
                 self._parser.should_keep_alive(),
+                tuple(self._identity),
             )
         )
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -107,6 +107,8 @@
         Identifier of the caller's attempt.
     route : str
         Name of its route.
+    fingerprint : bytes
+        What its repeats share; see `fuchsiagap.core.quarantine.fingerprint`.
     """
 
     call_id: int
@@ -123,6 +125,7 @@
     idempotent: bool
     request_id: str
     route: str
+    fingerprint: bytes
 
 
 class Below(NamedTuple):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -10,6 +10,7 @@
 
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.quarantine.fingerprint import fingerprint
 from fuchsiagap_node.core.mesh.final import PROMISES, RETRY_AFTER_MS, Final
 from fuchsiagap_node.core.mesh.messages import Call
 from fuchsiagap_node.core.mesh.outcome import (
@@ -88,6 +89,7 @@
         "_done",
         "_due",
         "_failed_below",
+        "_fingerprint",
         "_last",
         "_lot",
         "_may_have_run",
@@ -126,6 +128,9 @@
         self._deadline = self._started + wait
         own_due = self._started + route.objective
         self._due = own_due if parent is None else parent.due
+        self._fingerprint = fingerprint(
+            req.method, req.host, req.target, req.identity, req.body
+        )
         self._lot = placing.draw_lot() if parent is None else parent.call.lot
         self._arrivals = 0
         self._denials = 0
@@ -241,6 +246,7 @@
             route.idempotent,
             req.request_id,
             route.name,
+            self._fingerprint,
         )
 
     def _take_reply(self, outcome: Outcome, below: Below) -> None:
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_crashes.py
@@ -0,0 +1,113 @@
+"""How the node beside a backend server notices that it has crashed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.door.incarnation import BackendState
+from fuchsiagap.core.quarantine.crash_watch import CrashWatch
+from fuchsiagap_node.core.mesh.outcome import OTHER_INCARNATION, Answered, NotRun
+from fuchsiagap_node.core.mesh.stream import RefusedStream, SilentStream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fuchsiagap.core.clock import Clock
+    from fuchsiagap.core.door.incarnation import BackendReport
+    from fuchsiagap_node.core.mesh.job import Job
+    from fuchsiagap_node.core.mesh.outcome import Outcome
+    from fuchsiagap_node.core.mesh.stream import BrokenStream
+    from fuchsiagap_node.core.mesh.telling import Teller
+
+# Requests that a line about a crash names, at most.
+_MOST_NAMED = 8
+
+
+class ServerCrashes:
+    """Tells crashes of the own server from its planned ends, and what it ran then.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time in milliseconds.
+    teller : Teller
+        Logs.
+    at_work : callable
+        Returns the fingerprints of the requests that the server runs now.
+    """
+
+    def __init__(
+        self, clock: Clock, teller: Teller, at_work: Callable[[], frozenset[bytes]]
+    ) -> None:
+        self._clock = clock
+        self._tell = teller
+        self._at_work = at_work
+        self._watch = CrashWatch()
+        self._is_ready = False
+
+    @property
+    def is_doubted(self) -> bool:
+        """Whether a request ended without an answer and no other had one since."""
+        return self._watch.has_unanswered
+
+    def follow(self, report: BackendReport, is_same_start: bool) -> None:
+        """Take in which incarnation is believed in now, and its state."""
+        if not is_same_start:
+            self._crashed("another incarnation")
+            self._begin(report)
+        self._is_ready = report.state is BackendState.READY
+
+    def refute(self, report: BackendReport) -> None:
+        """Go by an earlier one again: the other may never have been here."""
+        self._begin(report)
+        self._is_ready = report.state is BackendState.READY
+
+    def _begin(self, report: BackendReport) -> None:
+        start = f"{report.instance} {report.born or ''}".rstrip()
+        self._watch.begin(start, self._clock.now())
+
+    def take_answer(self, outcome: Outcome) -> None:
+        """Take in what the server said; another incarnation speaks for itself."""
+        if isinstance(outcome, NotRun) and outcome.reason == OTHER_INCARNATION:
+            return
+        if isinstance(outcome, NotRun | Answered):
+            self._watch.note_answer(self._clock.now())
+
+    def take_unanswered(self, job: Job) -> None:
+        """Take in that a call got no answer."""
+        one = job.call.fingerprint
+        crashed = self._watch.note_unanswered(one, job.started, self._clock.now())
+        if crashed:
+            self._tell_crash(crashed, "found out later", frozenset({one}))
+
+    def take_unreachable(self, cause: BrokenStream) -> None:
+        """Take in that the server took no connection."""
+        is_gone = isinstance(cause, RefusedStream | SilentStream)
+        if is_gone and self.is_doubted:
+            self._crashed("no connection")
+
+    def take_silence(self) -> None:
+        """Take in that neither heartbeats nor answers have come for too long."""
+        self._crashed("no heartbeat")
+
+    def _crashed(self, evidence: str) -> None:
+        """Tell of a crash, unless the server was leaving or ran nothing.
+
+        What breaks at a server that drains or has left is its planned end.
+        """
+        if not self._is_ready or self._watch.has_crashed:
+            return
+        at_work = self._watch.note_crash(self._at_work())
+        if at_work:
+            self._tell_crash(self._watch.incarnation, evidence, at_work)
+
+    def _tell_crash(
+        self, incarnation: str, evidence: str, at_work: frozenset[bytes]
+    ) -> None:
+        self._tell.event(
+            "backend-crashed",
+            incarnation=incarnation,
+            evidence=evidence,
+            requests=len(at_work),
+            fingerprints=[f.hex() for f in sorted(at_work)[:_MOST_NAMED]],
+        )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -61,6 +61,10 @@
     """The other end has acknowledged nothing for too long."""
 
 
+class RefusedStream(BrokenStream):
+    """Nobody takes connections at the address."""
+
+
 class Stream:
     """One TCP connection.
 
@@ -199,8 +203,12 @@
 
     Raises
     ------
-    BrokenStream
+    RefusedStream
+        If nobody takes connections there.
+    SilentStream
         If there is none in time.
+    BrokenStream
+        If it cannot be opened for another reason.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
@@ -212,7 +220,10 @@
                 code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if code == 0:
                 return Stream(sock)
-            raise BrokenStream(f"{address}: {errno.errorcode.get(code, code)}")
+            cause = f"{address}: {errno.errorcode.get(code, code)}"
+            if code == errno.ECONNREFUSED:
+                raise RefusedStream(cause)
+            raise BrokenStream(cause)
     except OSError as exc:
         sock.close()
         raise BrokenStream(f"{address}: {exc}") from exc
@@ -220,7 +231,7 @@
         sock.close()
         raise
     sock.close()
-    raise BrokenStream(f"{address}: no connection within {wait:.0f} ms")
+    raise SilentStream(f"{address}: no connection within {wait:.0f} ms")
 
 
 def listen(address: str) -> socket.socket:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_door.py
@@ -20,7 +20,8 @@
         instance.encode(),
     )
     flags = (is_call, False, False, 0, True)
-    call = Call(1, instance, head, b"", wait, 500, 0, *flags, request_id, "read")
+    rest = (request_id, "read", request_id.encode())
+    call = Call(1, instance, head, b"", wait, 500, 0, *flags, *rest)
     return Job.of(call, host.node._clock.now(), reply)
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
@@ -29,7 +29,9 @@
 MESSAGES = (
     Hello("n-1", "x", "127.0.0.1:1", "hall-a", "certs"),
     STATUS,
-    Call(1, "i", b"h", b"b", 9.5, -3, 0, False, True, False, 7, True, "r", "read"),
+    Call(
+        1, "i", b"h", b"b", 9.5, -3, 0, False, True, False, 7, True, "r", "read", b"f"
+    ),
     Reply(1, Answered(200, b"OK", b"", b"body"), 2, 0.5, Below(0.7, 3)),
     Reply(2, NotRun("leaving", True), 0, 0.0, Below(NO_CALLS, 0)),
     Reply(3, MayHaveRun("link lost"), 0, 0.0, Below(NO_CALLS, 0)),
--- a/packages/fuchsiagap/src/fuchsiagap/core/door/health.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/door/health.py
@@ -80,8 +80,18 @@
         heartbeat : float
             Milliseconds between two heartbeats of the server.
         """
-        if now < self._down_until:
-            return False
+        return now >= self._down_until and self.is_heard(now, heartbeat)
+
+    def is_heard(self, now: Milliseconds, heartbeat: Milliseconds) -> bool:
+        """Whether the server was heard of lately, by a heartbeat or an answer.
+
+        Parameters
+        ----------
+        now : float
+            Time in milliseconds.
+        heartbeat : float
+            Milliseconds between two heartbeats of the server.
+        """
         if now - self._beat_at < _MISSED_BEATS * heartbeat:
             return True
         return now - self._answered_at < _ANSWERED_MS
