--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/crash_play.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/crash_play.py
@@ -81,6 +81,8 @@
 
     Attributes
     ----------
+    started_at : float
+        When the first callers began.
     crashed_at : list of float
         Times at which servers crashed on the poison.
     arrived_at : list of float
@@ -93,6 +95,7 @@
         What the callers of the poison got.
     """
 
+    started_at: float = 0.0
     crashed_at: list[float] = field(default_factory=list)
     arrived_at: list[float] = field(default_factory=list)
     n_other_crashes: int = 0
@@ -161,6 +164,7 @@
         if scenario.is_deep:
             self._hosts += [self._add_front(n) for n in range(3)]
         await self._deployment.settle()
+        self._record.started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             for _ in range(scenario.n_poison_callers):
                 nursery.start_soon(self._send_poison)
