Hold requests that crash the servers that run them

What callers saw: a request under which three servers had crashed went on to servers 12 and 14 times more; each time all that ran beside it failed.

Cause: nothing outlived an attempt. Attempts and repeats are bounded for each attempt of a caller; one that sends the request again began at zero, at whichever node.

Change: nodes tell each other which requests were at work when a server crashed, and which were answered since. A request that three crashes have no other explanation for is held by all nodes: refused before it is sent, and once more at the door; four or five crashes are needed where servers crash without it, or others were at work at as many. An answer anywhere clears it. It works since what crashes servers is never answered, while what was merely at work is; an innocent request is shielded by its own answers.

--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/crash_reports.py
@@ -0,0 +1,188 @@
+"""What nodes tell each other of requests that crash servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.quarantine.quarantine import Crash, Held, Quarantine
+from fuchsiagap_node.core.mesh.messages import Cleared
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Iterable, Mapping
+    from typing import TypeAlias
+
+    from fuchsiagap.core.clock import Clock
+    from fuchsiagap.core.quarantine.quarantine import QuarantineSettings
+    from fuchsiagap_node.core.mesh.messages import Message
+    from fuchsiagap_node.core.mesh.telling import Teller
+
+    # Sends a message on the link to one node.
+    Post: TypeAlias = Callable[[Message], None]
+    # What nodes tell each other here.
+    Report: TypeAlias = Crash | Held | Cleared
+
+# Links up to which a crash is told on all of them, and on how many else: reports of
+# crashes are as long as servers have places. Holds are short, and told on all.
+_TOLD_ALL = 16
+_TOLD_SOME = 8
+# Refusals of one request for which one line is written.
+_REFUSED_A_LINE = 100
+
+
+class CrashReports:
+    """Keeps the quarantine of one node, and tells the others what it learns.
+
+    Each node passes on what is new to it, so that all know within a few round trips;
+    the reports of one crash are the same whoever passes them on.
+
+    Parameters
+    ----------
+    cfg : QuarantineSettings
+        Settings.
+    service : str
+        Service of the own server.
+    clock : Clock
+        Time in milliseconds.
+    rng : random.Random
+        Chooses whom to tell where links are many.
+    teller : Teller
+        Logs and counters.
+
+    Attributes
+    ----------
+    quarantine : Quarantine
+        What the node knows.
+    posts : callable
+        Returns how to reach each node that is linked now, by its name.
+    """
+
+    def __init__(
+        self,
+        cfg: QuarantineSettings,
+        service: str,
+        clock: Clock,
+        rng: random.Random,
+        teller: Teller,
+    ) -> None:
+        self.quarantine = Quarantine(cfg, clock)
+        self._service = service
+        self._rng = rng
+        self._tell = teller
+        self._n_refused = 0
+        self.posts: Callable[[], Mapping[str, Post]] = dict
+
+    def server_crashed(self, incarnation: str, fingerprints: frozenset[bytes]) -> None:
+        """Tell of a crash of the own server."""
+        unanswered = fingerprints.difference(self.quarantine.answered_of(fingerprints))
+        crash = Crash(incarnation, self._service, 0.0, unanswered)
+        self._take_crash(crash, "")
+
+    def answered(self, fingerprint: bytes) -> None:
+        """Take in that the own server answered a request."""
+        if self.quarantine.note_answered(fingerprint):
+            self._tell_cleared([fingerprint], "")
+
+    def take(self, report: Report, sender: str) -> None:
+        """Take in what another node tells, and pass on what is new."""
+        match report:
+            case Crash():
+                self._take_crash(report, sender)
+            case Held():
+                self._take_held(report, sender)
+            case Cleared():
+                news = list(filter(self.quarantine.take_cleared, report.fingerprints))
+                if news:
+                    self._tell_cleared(news, sender)
+
+    def greet(self, post: Post) -> None:
+        """Tell a node that has just been linked which requests are held."""
+        for held in self.quarantine.held():
+            post(held)
+
+    def may_be_sent(self, fingerprint: bytes) -> bool:
+        """Whether an entry may send a request on to a server's node."""
+        quarantine = self.quarantine
+        return quarantine.admits(fingerprint) or not quarantine.wait_of(fingerprint)
+
+    def may_run(self, fingerprint: bytes) -> bool:
+        """Whether the own server may run a request; a trial of one is told to all."""
+        if self.quarantine.admits(fingerprint):
+            return True
+        trial = self.quarantine.begin_trial(fingerprint)
+        if trial is None:
+            return False
+        self._tell.event(
+            "quarantine-trial",
+            fingerprint=fingerprint.hex(),
+            service=trial.service,
+            crashes=trial.crashes,
+        )
+        self._post(trial, "")
+        return True
+
+    def refused(self, fingerprint: bytes, request_id: str) -> None:
+        """Count a refusal, and write a line for some."""
+        self._tell.counts["quarantine_refused", ""] += 1
+        if self._n_refused % _REFUSED_A_LINE == 0:
+            self._tell.event(
+                "quarantine-refused",
+                request=request_id,
+                fingerprint=fingerprint.hex(),
+                wait=round(self.quarantine.wait_of(fingerprint)),
+            )
+        self._n_refused += 1
+
+    def _take_crash(self, crash: Crash, sender: str) -> None:
+        quarantine = self.quarantine
+        fresh = quarantine.note_crash(crash)
+        if not fresh:
+            return
+        answered = quarantine.answered_of(fresh)
+        if answered:
+            self._tell_cleared(answered, "")
+        rest = Crash(
+            crash.incarnation,
+            crash.service,
+            crash.age,
+            fresh.difference(answered),
+        )
+        if rest.fingerprints:
+            self._post(rest, sender)
+        for held in quarantine.judge(rest):
+            self._tell_held(held, "")
+
+    def _take_held(self, held: Held, sender: str) -> None:
+        if self.quarantine.was_answered(held.fingerprint):
+            self._tell_cleared([held.fingerprint], "")
+        elif self.quarantine.take_held(held):
+            self._tell_held(held, sender)
+
+    def _tell_held(self, held: Held, sender: str) -> None:
+        self._tell.event(
+            "quarantine-held",
+            fingerprint=held.fingerprint.hex(),
+            service=held.service,
+            crashes=held.crashes,
+            age=round(held.age),
+            told_by=sender,
+        )
+        self._post(held, sender)
+
+    def _tell_cleared(self, fingerprints: Iterable[bytes], sender: str) -> None:
+        cleared = Cleared(tuple(fingerprints))
+        self._tell.event(
+            "quarantine-cleared",
+            fingerprints=[f.hex() for f in cleared.fingerprints],
+            told_by=sender,
+        )
+        self._post(cleared, sender)
+
+    def _post(self, report: Report, but: str) -> None:
+        """Send a report to the nodes that are linked, but for the one that told it."""
+        posts = self.posts()
+        names = [name for name in posts if name != but]
+        if isinstance(report, Crash) and len(names) > _TOLD_ALL:
+            names = self._rng.sample(names, _TOLD_SOME)
+        for name in names:
+            posts[name](report)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -13,6 +13,7 @@
 from fuchsiagap.core.door.queue import DoorQueue
 from fuchsiagap.core.door.turns import RankTurns
 from fuchsiagap_node.core.mesh.backend_conn import BackendConn
+from fuchsiagap_node.core.mesh.crash_reports import CrashReports
 from fuchsiagap_node.core.mesh.idle_conns import IdleConns
 from fuchsiagap_node.core.mesh.outcome import (
     CANCELLED,
@@ -21,6 +22,7 @@
     NO_BACKEND,
     NO_BUDGET,
     OTHER_INCARNATION,
+    QUARANTINED,
     QUEUE_FULL,
     Answered,
     MayHaveRun,
@@ -78,12 +80,15 @@
         What each rank got.
     changed : callable
         Called when what the door says of its server changes at once.
+    reports : CrashReports
+        Told of crashes and answers; says which requests the server may run.
     """
 
     def __init__(
         self, cfg: MeshSettings, clock: Clock, teller: Teller, rng: random.Random
     ) -> None:
         self._cfg = cfg
+        self.reports = CrashReports(cfg.quarantine, cfg.service, clock, rng, teller)
         self.repeats = PaidRepeats(cfg.budget, clock, teller, rng)
         self._clock = clock
         self._tell = teller
@@ -100,6 +105,7 @@
         self._usable = ""
         self._health = ServerHealth(clock.now())
         self._crashes = ServerCrashes(clock, teller, self._at_work)
+        self._crashes.on_crash = self.reports.server_crashed
         self._warm_at = 0.0
         self._typical_ms = 0.0
         self._n_timed = 0
@@ -332,6 +338,10 @@
         if self._nursery is None:
             job.reply(NotRun(NO_BACKEND))
             return
+        # Also here, where all that may run passes: its entry may not know yet.
+        if not self.reports.may_run(job.call.fingerprint):
+            job.reply(NotRun(QUARANTINED))
+            return
         self._queue.running += 1
         self.turns.note_start(job.call.rank, now)
         self._at_server[job] = None
@@ -504,6 +514,7 @@
         match outcome:
             case Answered(status):
                 self._health.note_answer(now)
+                self.reports.answered(job.call.fingerprint)
                 if status < 500:
                     self.repeats.note_answered(job.call.route, job.calls)
                 failed = status >= 500 and not job.fails_with_its_calls()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -12,12 +12,15 @@
 
 import cbor2
 
+from fuchsiagap.core.quarantine.fingerprint import FINGERPRINT_BYTES
+from fuchsiagap.core.quarantine.quarantine import Crash, Held
 from fuchsiagap.core.watching.turn import Hearing
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
     Below,
     Call,
     Cancel,
+    Cleared,
     ConfigText,
     ConfigWanted,
     Hello,
@@ -37,7 +40,9 @@
 _PARTS_OF_A_PLACE = 10
 
 _HELLO, _STATUS, _CALL, _CANCEL, _PING, _PONG, _WANTED, _CONFIG = range(8)
+_CRASH, _HELD = 8, 9
 _ANSWERED, _NOT_RUN, _MAY_HAVE_RUN = range(10, 13)
+_CLEARED = 13
 
 
 class BadFrame(Exception):
@@ -106,6 +111,12 @@
             return [_WANTED]
         case ConfigText(revision, text):
             return [_CONFIG, revision, text]
+        case Crash(incarnation, service, age, fingerprints):
+            return [_CRASH, incarnation, service, age, b"".join(sorted(fingerprints))]
+        case Held(fingerprint, service, crashes, age):
+            return [_HELD, fingerprint, service, crashes, age]
+        case Cleared(fingerprints):
+            return [_CLEARED, b"".join(fingerprints)]
 
 
 def _reply_fields(reply: Reply) -> list[object]:
@@ -139,6 +150,8 @@
 
 def _message(kind: int, rest: list[object]) -> Message:
     _check_types(kind, rest)
+    if kind in _REPORTS:
+        return _report(kind, rest)
     if kind >= _ANSWERED:
         call_id, load, offered, fullness, calls, failed, *outcome = rest
         settled = _OUTCOMES[kind](*outcome)  # type: ignore[arg-type]
@@ -156,11 +169,51 @@
     if isinstance(message, Status):
         _check_status(message)
         return replace(message, hearing=Hearing(message.hearing))
-    if isinstance(message, Call) and not -_MOST < message.left < _MOST:
-        raise ValueError(f"time left out of range: {message.left}")
+    if isinstance(message, Call):
+        _check_call(message)
     return message
 
 
+def _check_call(call: Call) -> None:
+    """Raise `ValueError` where a field would make no sense to whoever uses it."""
+    if not -_MOST < call.left < _MOST:
+        raise ValueError(f"time left out of range: {call.left}")
+    if len(call.fingerprint) != FINGERPRINT_BYTES:
+        raise ValueError(f"fingerprint of {len(call.fingerprint)} bytes")
+
+
+def _report(kind: int, rest: list[object]) -> Message:
+    """Return a report about requests that crash servers."""
+    match kind, rest:
+        case int(), [str() as incarnation, str() as service, age, bytes() as joined]:
+            _check_age(age)
+            prints = frozenset(_fingerprints(joined))
+            return Crash(incarnation, service, age, prints)  # type: ignore[arg-type]
+        case int(), [bytes() as fingerprint, str() as service, int() as crashes, age]:
+            _check_age(age)
+            if not 0 <= crashes < _MOST:
+                raise ValueError(f"crashes out of range: {crashes}")
+            (fingerprint,) = _fingerprints(fingerprint)
+            return Held(fingerprint, service, crashes, age)  # type: ignore[arg-type]
+        case int(), [bytes() as joined]:
+            return Cleared(tuple(_fingerprints(joined)))
+    raise ValueError(f"no report: {kind}")
+
+
+def _check_age(age: object) -> None:
+    """Raise `ValueError` unless a number may be an age in milliseconds."""
+    if not 0 <= age < _MOST:  # type: ignore[operator]
+        raise ValueError(f"age out of range: {age}")
+
+
+def _fingerprints(joined: bytes) -> list[bytes]:
+    """Return the fingerprints that stand one after the other."""
+    if len(joined) % FINGERPRINT_BYTES:
+        raise ValueError(f"{len(joined)} bytes are no whole fingerprints")
+    places = range(0, len(joined), FINGERPRINT_BYTES)
+    return [joined[at : at + FINGERPRINT_BYTES] for at in places]
+
+
 def _check_types(kind: int, rest: list[object]) -> None:
     """Raise `TypeError` unless the fields of a message have its types.
 
@@ -214,6 +267,9 @@
     _PONG: (),
     _WANTED: (),
     _CONFIG: (_WHOLE, _BYTES),
+    _CRASH: (_TEXT, _TEXT, _NUMBER, _BYTES),
+    _HELD: (_BYTES, _TEXT, _WHOLE, _NUMBER),
+    _CLEARED: (_BYTES,),
     _ANSWERED: (*_BELOW, _WHOLE, *3 * (_BYTES,)),
     _NOT_RUN: (*_BELOW, _TEXT, _TRUTH),
     _MAY_HAVE_RUN: (*_BELOW, _TEXT),
@@ -230,6 +286,7 @@
     _WANTED: ConfigWanted,
     _CONFIG: ConfigText,
 }
+_REPORTS = frozenset({_CRASH, _HELD, _CLEARED})
 _OUTCOMES = {_ANSWERED: Answered, _NOT_RUN: NotRun, _MAY_HAVE_RUN: MayHaveRun}
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -13,6 +13,7 @@
 
     from fuchsiagap_node.core.mesh.admission import Admission
     from fuchsiagap_node.core.mesh.config_sync import ConfigSync
+    from fuchsiagap_node.core.mesh.crash_reports import CrashReports
     from fuchsiagap_node.core.mesh.door import Door
     from fuchsiagap_node.core.mesh.peers import Peers
 
@@ -38,6 +39,12 @@
     yield Gauge("backend_failing_share", "", round(door.failing(), 3))
 
 
+def quarantine_gauges(reports: CrashReports) -> Iterator[Gauge]:
+    """Yield how many requests are held, and how many are suspected."""
+    yield Gauge("quarantine_held", "", reports.quarantine.n_held)
+    yield Gauge("quarantine_suspects", "", reports.quarantine.n_suspects)
+
+
 def peer_gauges(peers: Peers) -> Iterator[Gauge]:
     """Yield, for each service, the servers in reach and how full they are."""
     for service in peers.services():
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from fuchsiagap.core.quarantine.quarantine import Crash, Held
 from fuchsiagap.core.watching.turn import Hearing
 
 if TYPE_CHECKING:
@@ -208,6 +209,24 @@
     text: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Cleared:
+    """Requests that were answered and so crash no servers, by their fingerprints."""
+
+    fingerprints: tuple[bytes, ...]
+
+
 Message: TypeAlias = (
-    Hello | Status | Call | Reply | Cancel | Ping | Pong | ConfigWanted | ConfigText
+    Hello
+    | Status
+    | Call
+    | Reply
+    | Cancel
+    | Ping
+    | Pong
+    | ConfigWanted
+    | ConfigText
+    | Crash
+    | Held
+    | Cleared
 )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -27,6 +27,7 @@
     config_gauges,
     door_gauges,
     peer_gauges,
+    quarantine_gauges,
 )
 from fuchsiagap_node.core.mesh.links import Links
 from fuchsiagap_node.core.mesh.member_sync import MemberSync
@@ -49,6 +50,7 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.crash_reports import Post
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.store import Store, StoredConfig
@@ -140,7 +142,10 @@
         below = self._pressures.below
         self._own = OwnDoor(cfg.node, cfg.service, self.door, clock, below)
         self._peers.put(self._own)
-        self._placing = Placing(cfg, self._peers, self._pressures, clock, rng, tell)
+        self.reports = self.door.reports
+        self._placing = Placing(
+            cfg, self._peers, self._pressures, clock, rng, tell, self.reports
+        )
         self._admission = Admission(
             self._pressures, self._placing.served, clock, rng, tell
         )
@@ -188,6 +193,9 @@
         self._taking.on_hello = self._links.take_hello
         self._taking.config_text = self._config.text
         self._taking.below = below
+        self._taking.on_report = self.reports.take
+        self._taking.greet = self.reports.greet
+        self.reports.posts = self._posts
         self.door.changed = self._tell_status
         self._ticker = Ticker(clock, tell)
         for interval, do in (
@@ -207,6 +215,14 @@
     def _prepare_link(self, link: SendingLink) -> None:
         link.on_status = self._config.peer_has
         link.on_config = lambda text: self._config.take_text(text, link.member.node)
+        link.on_report = self.reports.take
+        link.greet = self.reports.greet
+
+    def _posts(self) -> dict[str, Post]:
+        """Return how to reach each node that is linked in either direction."""
+        posts = dict(self._taking.posts())
+        posts.update((k.member.node, k.post) for k in self._links if k.is_open())
+        return posts
 
     def _adopt(self, stored: StoredConfig) -> None:
         """Put a configuration in force."""
@@ -370,6 +386,7 @@
             config_gauges(self._config),
             door_gauges(self.door),
             peer_gauges(self._peers),
+            quarantine_gauges(self.reports),
             admission_gauges(self._admission),
         )
         return Final(200, headers=kind, body=self.tell.metrics(gauges).encode())
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -18,6 +18,7 @@
     LINK_LOST,
     NO_BACKEND,
     NO_BUDGET,
+    QUARANTINED,
     Answered,
     MayHaveRun,
     NotRun,
@@ -90,6 +91,7 @@
         "_due",
         "_failed_below",
         "_fingerprint",
+        "_is_quarantined",
         "_last",
         "_lot",
         "_may_have_run",
@@ -137,6 +139,7 @@
         self._placements = 0
         self._may_have_run = False
         self._failed_below = False
+        self._is_quarantined = False
         self._tried: list[str] = []
         self._offered_to: set[str] = set()
         self._last: Outcome = NotRun(NO_BACKEND)
@@ -201,6 +204,9 @@
     def _place(self) -> None:
         """Send the request to the next backend server, if there is one."""
         placing = self._placing
+        if not placing.reports.may_be_sent(self._fingerprint):
+            self._give_up_quarantined()
+            return
         used_up = len(self._offered_to) >= self._route.max_attempts
         only = self._offered_to if used_up else None
         peer = placing.choose(self._service, self._route.name, self._tried, only)
@@ -277,6 +283,9 @@
         if isinstance(outcome, NotRun) and outcome.reason == NO_BUDGET:
             self._take_denial(outcome)
             return
+        if isinstance(outcome, NotRun) and outcome.reason == QUARANTINED:
+            self._give_up_quarantined()
+            return
         self._last = outcome
         if isinstance(outcome, Answered) and not self._wants_repeat(outcome):
             self._answer(outcome)
@@ -290,6 +299,22 @@
         else:
             self._place()
 
+    def _give_up_quarantined(self) -> None:
+        """Finish a request that no server may run.
+
+        What a try before led to is told as it was; the wait is how long others are kept
+        from servers too, so that a caller who heeds it crashes none.
+        """
+        reports = self._placing.reports
+        reports.refused(self._fingerprint, self._req.request_id)
+        self._is_quarantined = True
+        if self._may_have_run:
+            self._give_up()
+            return
+        self._last = NotRun(QUARANTINED)
+        wait = reports.quarantine.wait_of(self._fingerprint)
+        self._finish(Final(503, retry_after=max(wait, RETRY_AFTER_MS)))
+
     def _take_denial(self, outcome: NotRun) -> None:
         """Ask another door for a repeat, or finish with what came before."""
         self._denials += 1
@@ -374,7 +399,7 @@
         failed = final.status >= 500 or final.status in PROMISES
         self._tell_parent(failed and self._has_reached_a_server())
         now = self._placing.clock.now()
-        if self._parent is None:
+        if self._parent is None and not self._is_quarantined:
             self._placing.served.note_end(self._route.name, final.status < 500, now)
         took = now - self._started
         self._placing.tell.answered(self._route.name, str(final.status), took)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
@@ -14,6 +14,7 @@
     from collections.abc import Collection, Sequence
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.crash_reports import CrashReports
     from fuchsiagap_node.core.mesh.peers import Peer, Peers
     from fuchsiagap_node.core.mesh.pressures import Pressures
     from fuchsiagap_node.core.mesh.settings import MeshSettings
@@ -49,6 +50,8 @@
         Breaks ties.
     teller : Teller
         Logs and counters.
+    reports : CrashReports
+        Says which requests may be sent to servers.
 
     Attributes
     ----------
@@ -68,6 +71,7 @@
         clock: Clock,
         rng: random.Random,
         teller: Teller,
+        reports: CrashReports,
     ) -> None:
         self._rng = rng
         self._bytes: dict[str, float] = {}
@@ -78,6 +82,7 @@
         self.tell = teller
         self.in_progress: dict[InProgress, None] = {}
         self.served = ServedShares()
+        self.reports = reports
         self.caller_line = b"%s: %s\r\n" % (cfg.names.caller, cfg.service.encode())
         self.target_name = cfg.names.target
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -9,12 +9,14 @@
 
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.placement.choice import Target
+from fuchsiagap.core.quarantine.quarantine import Crash, Held
 from fuchsiagap.core.watching.turn import Hearing
 from fuchsiagap_node.core.mesh.frames import BadFrame
 from fuchsiagap_node.core.mesh.link import FramedLink
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
     Below,
+    Cleared,
     ConfigText,
     Hello,
     Ping,
@@ -28,6 +30,7 @@
     from collections.abc import Callable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.crash_reports import Post, Report
     from fuchsiagap_node.core.mesh.messages import Call, Message
     from fuchsiagap_node.core.mesh.peers import OnReply
     from fuchsiagap_node.core.mesh.stream import Stream
@@ -102,6 +105,10 @@
         Told the configuration that the node sends.
     on_status : callable
         Told that the node's status changed.
+    on_report : callable
+        Told what the node reports of requests that crash servers.
+    greet : callable
+        Sends the node what it has to know first.
     """
 
     def __init__(
@@ -120,6 +127,8 @@
         self._reached_at = clock.now()
         self.on_config: Callable[[ConfigText], None] = _ignore
         self.on_status: Callable[[SendingLink], None] = _ignore
+        self.on_report: Callable[[Report, str], None] = _ignore_report
+        self.greet: Callable[[Post], None] = _ignore
         self.scope = trio.CancelScope()
 
     @property
@@ -131,6 +140,10 @@
         """Whether the node is linked and heard of."""
         return self._link is not None and self.target.usable
 
+    def is_open(self) -> bool:
+        """Whether the node is linked."""
+        return self._link is not None
+
     def is_heard(self) -> bool:
         """Whether the node is linked and was heard of, also without a server."""
         link = self._link
@@ -233,6 +246,8 @@
                         self._take_status(status)
                     case ConfigText() as config:
                         self.on_config(config)
+                    case Crash() | Held() | Cleared() as report:
+                        self.on_report(report, self.member.node)
                     case Hello() as hello:
                         self._check(hello, link)
             if not self.target.usable and self.target.instance and self._link:
@@ -243,6 +258,7 @@
         if hello.node != self.member.node or hello.service != self.member.service:
             raise BrokenStream(f"{hello.node} answers at {self.member.address}")
         self._link = link
+        self.greet(link.post)
         self._tell.event("link-up", to=hello.node, incarnation=hello.incarnation)
 
     def _take_reply(self, reply: Reply) -> None:
@@ -286,3 +302,7 @@
 
 def _ignore(_: object) -> None:
     """Do nothing."""
+
+
+def _ignore_report(_: Report, __: str) -> None:
+    """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_crashes.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_crashes.py
@@ -34,6 +34,11 @@
         Logs.
     at_work : callable
         Returns the fingerprints of the requests that the server runs now.
+
+    Attributes
+    ----------
+    on_crash : callable
+        Told the incarnation that crashed, and the fingerprints of what it ran.
     """
 
     def __init__(
@@ -44,6 +49,7 @@
         self._at_work = at_work
         self._watch = CrashWatch()
         self._is_ready = False
+        self.on_crash: Callable[[str, frozenset[bytes]], None] = _ignore
 
     @property
     def is_doubted(self) -> bool:
@@ -111,3 +117,8 @@
             requests=len(at_work),
             fingerprints=[f.hex() for f in sorted(at_work)[:_MOST_NAMED]],
         )
+        self.on_crash(incarnation, at_work)
+
+
+def _ignore(_: str, __: frozenset[bytes]) -> None:
+    """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.quarantine.quarantine import QuarantineSettings
 from fuchsiagap.core.retries.shares import SharedBudget
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
 
@@ -76,6 +77,8 @@
         Times.
     budget : SharedBudget
         Repeats that all nodes together may send.
+    quarantine : QuarantineSettings
+        Bounds on what is remembered of requests that crash servers.
     names : HeaderNames
         Header names.
     health_path : str
@@ -95,6 +98,7 @@
     budget: SharedBudget = field(
         default_factory=lambda: SharedBudget(0.2, 48.0, 10_000.0)
     )
+    quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
     names: HeaderNames = field(default_factory=HeaderNames)
     health_path: str = "/readiness"
     first_start: bool = False
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from fuchsiagap.core.quarantine.quarantine import Crash, Held
 from fuchsiagap_node.core.mesh.frames import BadFrame
 from fuchsiagap_node.core.mesh.job import Job
 from fuchsiagap_node.core.mesh.link import FramedLink
@@ -14,6 +15,7 @@
     NO_CALLS,
     Call,
     Cancel,
+    Cleared,
     ConfigText,
     ConfigWanted,
     Hello,
@@ -25,9 +27,10 @@
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.crash_reports import Post, Report
     from fuchsiagap_node.core.mesh.door import Door
     from fuchsiagap_node.core.mesh.outcome import Outcome
     from fuchsiagap_node.core.mesh.stream import Stream
@@ -50,11 +53,14 @@
         The last status sent to it.
     heard_load_at : float
         When a reply or a status last told it the load.
+    node : str
+        Its name, once it has said it.
     """
 
     jobs: dict[int, Job] = field(default_factory=dict)
     told: Status | None = None
     heard_load_at: Milliseconds = float("-inf")
+    node: str = ""
 
 
 class TakingLinks:
@@ -81,6 +87,10 @@
         Returns the adopted configuration, or None.
     below : callable
         Returns the fullness of the services below a route.
+    on_report : callable
+        Told what another node reports of requests that crash servers.
+    greet : callable
+        Sends a node that has just opened a link what it has to know first.
     """
 
     def __init__(
@@ -100,6 +110,14 @@
         self.on_hello: Callable[[Hello], None] = _ignore
         self.config_text: Callable[[], ConfigText | None] = _no_config
         self.below: Callable[[str], float] = _no_calls
+        self.on_report: Callable[[Report, str], None] = _ignore_report
+        self.greet: Callable[[Post], None] = _ignore
+
+    def posts(self) -> Iterator[tuple[str, Post]]:
+        """Yield the nodes that send calls here, and how to tell them something."""
+        for link, sender in self._links.items():
+            if link.greeted and sender.node:
+                yield sender.node, link.post
 
     async def serve(self, stream: Stream) -> None:
         """Serve one link until it ends."""
@@ -144,8 +162,13 @@
                         link.post(Pong())
                     case Hello() as hello:
                         link.post_hello(self._hello, hello.packed)
+                        sender.node = hello.node
+                        # Before the status, on which it may begin to send.
+                        self.greet(link.post)
                         self._post_status(link, sender, self._status())
                         self.on_hello(hello)
+                    case Crash() | Held() | Cleared() as report:
+                        self.on_report(report, sender.node)
                     case ConfigWanted():
                         text = self.config_text()
                         if text is not None:
@@ -198,6 +221,10 @@
     """Do nothing."""
 
 
+def _ignore_report(_: Report, __: str) -> None:
+    """Do nothing."""
+
+
 def _no_config() -> None:
     """Return no configuration."""
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
@@ -7,12 +7,14 @@
 import cbor2
 from testtools import TestCase
 
+from fuchsiagap.core.quarantine.quarantine import Crash, Held
 from fuchsiagap_node.core.mesh.frames import BadFrame, decode, encode
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
     Below,
     Call,
     Cancel,
+    Cleared,
     ConfigText,
     ConfigWanted,
     Hello,
@@ -25,13 +27,12 @@
 from fuchsiagap_standins.fuzz import mutated
 
 _PREFIX_BYTES = 4
+FLAGS = (False, True, False, 7, True)
 STATUS = Status("i-1", 8, 3, 2.5, 0.5, False, 7)
 MESSAGES = (
     Hello("n-1", "x", "127.0.0.1:1", "hall-a", "certs"),
     STATUS,
-    Call(
-        1, "i", b"h", b"b", 9.5, -3, 0, False, True, False, 7, True, "r", "read", b"f"
-    ),
+    Call(1, "i", b"h", b"b", 9.5, -3, 0, *FLAGS, "r", "read", b"f" * 16),
     Reply(1, Answered(200, b"OK", b"", b"body"), 2, 0.5, Below(0.7, 3)),
     Reply(2, NotRun("leaving", True), 0, 0.0, Below(NO_CALLS, 0)),
     Reply(3, MayHaveRun("link lost"), 0, 0.0, Below(NO_CALLS, 0)),
@@ -40,6 +41,9 @@
     Pong(),
     ConfigWanted(),
     ConfigText(3, b"{}"),
+    Crash("i-1 17", "certs", 12.5, frozenset({b"a" * 16, b"b" * 16})),
+    Held(b"a" * 16, "certs", 3, 0.0),
+    Cleared((b"a" * 16, b"b" * 16)),
 )
 # Mutated frames; 100,000 by hand: `FUZZ_RUNS=100000`.
 N_RUNS = int(os.environ.get("FUZZ_RUNS", "3000"))
@@ -92,6 +96,11 @@
         for place, value in ((2, -1), (4, float("nan")), (4, -2.0), (5, 2**60)):
             self.assertRaises(BadFrame, decode, changed(reply, place, value))
 
+    def test_fingerprint_that_is_not_whole_is_no_message(self):
+        call, crash, held, cleared = MESSAGES[2], *MESSAGES[-3:]
+        for message, place in ((call, 15), (crash, 4), (held, 1), (cleared, 1)):
+            self.assertRaises(BadFrame, decode, changed(message, place, b"a" * 15))
+
     def test_missing_and_further_fields_are_no_message(self):
         fields = cbor2.loads(payload(STATUS))
         for found in (fields[:-1], [*fields, 1], [], [99], [[1], 2], {"a": 1}, 7):
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
@@ -0,0 +1,309 @@
+"""Evidence against requests, and which of them no server may run."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from fuchsiagap.core.quarantine.answered import AnsweredLately
+from fuchsiagap.core.quarantine.verdict import ONLY_CAUSE, Case, is_convincing
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from fuchsiagap.core.clock import Clock, Milliseconds
+
+# Crashes from which on a request is not tried again while it is asked for: each trial
+# crashes one more server.
+_NO_MORE_TRIALS = 6
+# By what the time until the next trial grows with each crash.
+_BACKOFF = 5.0
+# Milliseconds by which the ages of one event differ that nodes tell, at most.
+_SAME_MS = 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineSettings:
+    """Bounds on what is remembered and for how long.
+
+    Parameters
+    ----------
+    evidence_ms : float
+        Milliseconds for which a crash counts as evidence.
+    other_ms : float
+        Milliseconds for which crashes without a request speak for it.
+    answered_ms : float
+        Milliseconds for which an answer shows that a request crashes nothing.
+    trial_ms : float
+        Milliseconds until a request that crashed three servers is tried again.
+    idle_ms : float
+        Milliseconds without being asked for after which a request is no longer held.
+    most_suspects, most_held, most_answered : int
+        Fingerprints that are remembered of each kind.
+    most_crashes : int
+        Crashes that are remembered.
+    """
+
+    evidence_ms: Milliseconds = 600_000.0
+    other_ms: Milliseconds = 60_000.0
+    answered_ms: Milliseconds = 60_000.0
+    trial_ms: Milliseconds = 60_000.0
+    idle_ms: Milliseconds = 3_600_000.0
+    most_suspects: int = 4_096
+    most_held: int = 1_024
+    most_answered: int = 8_192
+    most_crashes: int = 1_024
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """The end of a server amid requests.
+
+    Parameters
+    ----------
+    incarnation : str
+        What names the server's start.
+    service : str
+        Its service.
+    age : float
+        Milliseconds since then.
+    fingerprints : frozenset of bytes
+        Requests that it ran, but for those that were answered of late.
+    """
+
+    incarnation: str
+    service: str
+    age: Milliseconds
+    fingerprints: frozenset[bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A request that no server may run.
+
+    Parameters
+    ----------
+    fingerprint : bytes
+        The request.
+    service : str
+        Service whose servers it crashed.
+    crashes : int
+        How many, as far as is known.
+    age : float
+        Milliseconds since the last of them, or since its last trial.
+    """
+
+    fingerprint: bytes
+    service: str
+    crashes: int
+    age: Milliseconds
+
+
+@dataclass(slots=True)
+class _Suspect:
+    """Crashes at which a request was at work, by incarnation, and when."""
+
+    crashes: dict[str, Milliseconds] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Hold:
+    """A request that is held, in local time."""
+
+    service: str
+    crashes: int
+    since: Milliseconds
+    asked_at: Milliseconds
+    refused: int = 0
+
+
+class Quarantine:
+    """What one node knows of requests that crash servers.
+
+    A request that crashes servers was never answered: an answer anywhere clears it. One
+    that was merely at work where servers crashed is answered sooner or later. Requests
+    are held once the crashes have no better explanation, and all nodes tell each other
+    of crashes, answers to suspects, and holds, so that each decides alike.
+
+    Parameters
+    ----------
+    cfg : QuarantineSettings
+        Settings.
+    clock : Clock
+        Time in milliseconds.
+    """
+
+    def __init__(self, cfg: QuarantineSettings, clock: Clock) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._answered = AnsweredLately(cfg.answered_ms, cfg.most_answered)
+        self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
+        self._crashes: OrderedDict[str, tuple[Milliseconds, set[bytes]]] = OrderedDict()
+        self._held: OrderedDict[bytes, _Hold] = OrderedDict()
+
+    @property
+    def n_held(self) -> int:
+        """Requests that are held."""
+        return len(self._held)
+
+    @property
+    def n_suspects(self) -> int:
+        """Requests with evidence against them that are not held."""
+        return len(self._suspects)
+
+    def note_answered(self, fingerprint: bytes) -> bool:
+        """Take in that a server answered a request.
+
+        Returns
+        -------
+        bool
+            Whether other nodes are to know, since it was suspected or held.
+        """
+        self._answered.add(fingerprint, self._clock.now())
+        return self._clear(fingerprint)
+
+    def was_answered(self, fingerprint: bytes) -> bool:
+        """Whether a request was answered of late."""
+        return fingerprint in self._answered
+
+    def take_cleared(self, fingerprint: bytes) -> bool:
+        """Take in that another node saw an answer; return whether that is news."""
+        is_news = fingerprint not in self._answered
+        self._answered.add(fingerprint, self._clock.now())
+        self._clear(fingerprint)
+        return is_news
+
+    def _clear(self, fingerprint: bytes) -> bool:
+        was_suspect = self._suspects.pop(fingerprint, None) is not None
+        was_held = self._held.pop(fingerprint, None) is not None
+        return was_suspect or was_held
+
+    def note_crash(self, crash: Crash) -> frozenset[bytes]:
+        """Take in the crash of a server.
+
+        Returns
+        -------
+        frozenset of bytes
+            What of it was not known; empty if all was.
+        """
+        at = self._clock.now() - crash.age
+        _, known = self._crashes.setdefault(crash.incarnation, (at, set()))
+        fresh = crash.fingerprints - known
+        known |= fresh
+        _trim(self._crashes, self._cfg.most_crashes)
+        for fingerprint in sorted(fresh):
+            if fingerprint in self._answered:
+                continue
+            suspect = self._suspects.setdefault(fingerprint, _Suspect())
+            self._suspects.move_to_end(fingerprint)
+            suspect.crashes[crash.incarnation] = at
+        _trim(self._suspects, self._cfg.most_suspects)
+        return fresh
+
+    def answered_of(self, fingerprints: Iterable[bytes]) -> list[bytes]:
+        """Return which of some requests were answered of late."""
+        return [f for f in fingerprints if f in self._answered]
+
+    def judge(self, crash: Crash) -> list[Held]:
+        """Hold those of a crash's requests that cause crashes; return the new ones."""
+        held = []
+        for fingerprint in sorted(crash.fingerprints):
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None:
+                continue
+            if fingerprint not in self._held:
+                self._forget_old(suspect)
+                if not is_convincing(self._case(fingerprint, suspect)):
+                    continue
+            n_crashes = len(suspect.crashes)
+            found = Held(fingerprint, crash.service, n_crashes, crash.age)
+            if self.take_held(found):
+                held.append(found)
+        return held
+
+    def _forget_old(self, suspect: _Suspect) -> None:
+        since = self._clock.now() - self._cfg.evidence_ms
+        for incarnation in [i for i, at in suspect.crashes.items() if at < since]:
+            del suspect.crashes[incarnation]
+
+    def _case(self, fingerprint: bytes, suspect: _Suspect) -> Case:
+        n_crashes = len(suspect.crashes)
+        if n_crashes < ONLY_CAUSE:
+            return Case(n_crashes, 0, 0)
+        rivals = sum(
+            len(other.crashes) >= n_crashes
+            for name, other in self._suspects.items()
+            if name != fingerprint and name not in self._held
+        )
+        since = self._clock.now() - self._cfg.other_ms
+        others = sum(
+            at >= since and fingerprint not in present and not self._explains(present)
+            for at, present in self._crashes.values()
+        )
+        return Case(n_crashes, rivals, others)
+
+    def _explains(self, present: set[bytes]) -> bool:
+        """Whether one of the requests at a crash is held."""
+        return any(fingerprint in self._held for fingerprint in present)
+
+    def take_held(self, held: Held) -> bool:
+        """Hold a request; return whether that, or its last crash, is news."""
+        if held.fingerprint in self._answered:
+            return False
+        now = self._clock.now()
+        since = now - held.age
+        known = self._held.get(held.fingerprint)
+        if known is None:
+            self._held[held.fingerprint] = _Hold(held.service, held.crashes, since, now)
+            _trim(self._held, self._cfg.most_held)
+            return True
+        is_news = held.crashes > known.crashes or since > known.since + _SAME_MS
+        known.crashes = max(known.crashes, held.crashes)
+        known.since = max(known.since, since)
+        known.asked_at = max(known.asked_at, since)
+        return is_news
+
+    def admits(self, fingerprint: bytes) -> bool:
+        """Whether a request is not held, or has not been asked for in a long time."""
+        hold = self._held.get(fingerprint)
+        if hold is None:
+            return True
+        now = self._clock.now()
+        if now - hold.asked_at > self._cfg.idle_ms:
+            del self._held[fingerprint]
+            self._suspects.pop(fingerprint, None)
+            return True
+        hold.asked_at = now
+        return False
+
+    def begin_trial(self, fingerprint: bytes) -> Held | None:
+        """Return what all nodes are to be told if a held request may be tried now."""
+        hold = self._held.get(fingerprint)
+        if hold is None or self.wait_of(fingerprint) > 0.0:
+            return None
+        hold.since = self._clock.now()
+        return Held(fingerprint, hold.service, hold.crashes, 0.0)
+
+    def wait_of(self, fingerprint: bytes) -> Milliseconds:
+        """Return the milliseconds until a held request may be tried; 0 if it may."""
+        hold = self._held.get(fingerprint)
+        if hold is None:
+            return 0.0
+        if hold.crashes >= _NO_MORE_TRIALS:
+            return self._cfg.idle_ms
+        wait = self._cfg.trial_ms * _BACKOFF ** max(hold.crashes - ONLY_CAUSE, 0)
+        return max(hold.since + wait - self._clock.now(), 0.0)
+
+    def held(self) -> Iterator[Held]:
+        """Yield the requests that are held."""
+        now = self._clock.now()
+        for fingerprint, hold in self._held.items():
+            age = max(now - hold.since, 0.0)
+            yield Held(fingerprint, hold.service, hold.crashes, age)
+
+
+def _trim(table: OrderedDict[Any, Any], most: int) -> None:
+    """Forget the oldest entries beyond a number."""
+    while len(table) > most:
+        table.popitem(last=False)
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/verdict.py
@@ -0,0 +1,45 @@
+"""Whether the crashes at which a request was at work show that it causes them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Crashes of a request that was never answered since. With the first number it has to be
+# the only explanation, with the second the best one; with the last it is held whatever
+# else crashes servers, unless too many requests explain the same crashes.
+ONLY_CAUSE = 3
+LIKELY_CAUSE = 4
+CERTAIN_CAUSE = 5
+# Requests with as many crashes beyond which none of them is held: a service that
+# crashes whatever it runs would lose all its requests.
+_MOST_RIVALS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """What speaks for and against one request.
+
+    Parameters
+    ----------
+    crashes : int
+        Crashes at which it was at work, since it was last answered.
+    rivals : int
+        Other requests that were at work at as many.
+    others : int
+        Recent crashes at which neither it nor a request that is held was at work.
+    """
+
+    crashes: int
+    rivals: int
+    others: int
+
+
+def is_convincing(case: Case) -> bool:
+    """Whether a request is to be kept from all servers."""
+    if case.crashes >= CERTAIN_CAUSE:
+        return case.rivals < _MOST_RIVALS
+    if case.rivals:
+        return False
+    if case.crashes >= LIKELY_CAUSE:
+        return True
+    return case.crashes >= ONLY_CAUSE and not case.others
