Learn of servers that end with their node; let a new node hear first

A node that had just started used the server beside it before any other node had told it what is held. It now waits for the first status of another node, for 1 s at most.

Where a server ended together with the node beside it, nobody told of the crash. Nodes that had sent it requests now tell it once another incarnation stands beside the node.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/crash_reports.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/crash_reports.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.quarantine.lost_servers import LostServers
 from fuchsiagap.core.quarantine.quarantine import Crash, Held, Quarantine
 from fuchsiagap_node.core.mesh.messages import Cleared
 
@@ -66,6 +67,8 @@
         teller: Teller,
     ) -> None:
         self.quarantine = Quarantine(cfg, clock)
+        self._clock = clock
+        self._lost = LostServers()
         self._service = service
         self._rng = rng
         self._tell = teller
@@ -78,8 +81,24 @@
         crash = Crash(incarnation, self._service, 0.0, unanswered)
         self._take_crash(crash, "")
 
+    def link_lost(self, node: str, instance: str, fingerprint: bytes) -> None:
+        """Take in that a request was lost with the link to a server's node."""
+        now = self._clock.now()
+        self._lost.note_lost(node, instance, fingerprint, now)
+
+    def heard(self, node: str, service: str, instance: str) -> None:
+        """Take in which server stands beside a node; tell if the earlier one ended."""
+        found = self._lost.heard(node, instance)
+        if found is None:
+            return
+        ended, at, lost = found
+        unanswered = lost.difference(self.quarantine.answered_of(lost))
+        if unanswered:
+            age = self._clock.now() - at
+            self._take_crash(Crash(ended, service, age, unanswered), "")
+
     def answered(self, fingerprint: bytes) -> None:
-        """Take in that the own server answered a request."""
+        """Take in that a server answered a request."""
         if self.quarantine.note_answered(fingerprint):
             self._tell_cleared([fingerprint], "")
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -52,6 +52,7 @@
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.crash_reports import Post
     from fuchsiagap_node.core.mesh.http_request import Request
+    from fuchsiagap_node.core.mesh.link import FramedLink
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.store import Store, StoredConfig
 
@@ -84,6 +85,9 @@
 # Milliseconds between two looks at the settings file; a second is well within the two
 # that a change of configuration may take.
 _SETTINGS_MS = 1_000.0
+# Milliseconds after its start for which a node waits to hear from another one which
+# requests are held before it uses the server beside it; others know by themselves.
+_CATCH_UP_MS = 1_000.0
 # Milliseconds before work in the background that failed starts again.
 _RESTART_MS = 500.0
 # Objects between two collections of the youngest generation: the path makes few cycles,
@@ -189,6 +193,8 @@
         self._settings_fault = ""
         self._service_ms = 0.0
         self._leaving = False
+        self._is_caught_up = False
+        self._alone_from = clock.now() + _CATCH_UP_MS
         self._taking = TakingLinks(hello, self.door, self._status, clock, tell)
         self._taking.on_hello = self._links.take_hello
         self._taking.config_text = self._config.text
@@ -213,11 +219,24 @@
             self._ticker.every(interval, do)
 
     def _prepare_link(self, link: SendingLink) -> None:
-        link.on_status = self._config.peer_has
+        link.on_status = self._take_status_of
         link.on_config = lambda text: self._config.take_text(text, link.member.node)
         link.on_report = self.reports.take
         link.greet = self.reports.greet
 
+    def _take_status_of(self, link: SendingLink) -> None:
+        """Follow what another node says of itself and of its server."""
+        self._config.peer_has(link)
+        target = link.target
+        self.reports.heard(target.node, target.service, target.instance)
+        if not self._is_caught_up:
+            self._is_caught_up = True
+            self._tell_status()
+
+    def taking_links(self) -> list[FramedLink]:
+        """Return the links on which other nodes send calls."""
+        return self._taking.links()
+
     def _posts(self) -> dict[str, Post]:
         """Return how to reach each node that is linked in either direction."""
         posts = dict(self._taking.posts())
@@ -252,7 +271,12 @@
         return round(self._service_ms)
 
     def _tell_status(self) -> None:
-        self._own.take_status(self._status())
+        status = self._status()
+        if not self._is_caught_up:
+            # What this host's callers ask for may be held by all others.
+            self._is_caught_up = self._clock.now() >= self._alone_from
+            status = replace(status, instance="")
+        self._own.take_status(status)
         self._taking.tell_status()
 
     def _tell_load(self) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -257,8 +257,8 @@
 
     def _take_reply(self, outcome: Outcome, below: Below) -> None:
         """Take the outcome of the call; a fault here must not end the link's task."""
-        call = self._call
-        if call is None:
+        call, peer = self._call, self._peer
+        if call is None or peer is None:
             return
         self._peer = self._call = None
         if self._parent_job is not None:
@@ -271,6 +271,10 @@
                 sent = len(call.head) + len(call.body)
                 received = len(outcome.headers) + len(outcome.body)
                 self._placing.note_bytes(route, sent + received)
+                self._placing.reports.answered(self._fingerprint)
+            elif isinstance(outcome, MayHaveRun) and outcome.reason == LINK_LOST:
+                node = peer.target.node
+                self._placing.reports.link_lost(node, call.instance, self._fingerprint)
             self._tried.append(call.instance)
             if not isinstance(outcome, NotRun) or outcome.offered:
                 self._offered_to.add(call.instance)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
@@ -119,6 +119,10 @@
             if link.greeted and sender.node:
                 yield sender.node, link.post
 
+    def links(self) -> list[FramedLink]:
+        """Return the links that are open."""
+        return list(self._links)
+
     async def serve(self, stream: Stream) -> None:
         """Serve one link until it ends."""
         link = FramedLink(stream, self._clock)
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -41,6 +41,7 @@
     LATE_EXTRA = "late extra"
     UNFRAMED = "unframed"
     CRASH = "crash"
+    CRASH_SILENTLY = "crash silently"
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +113,7 @@
         self.on_run: Callable[[str], Awaitable[None]] | None = None
         self.on_crash: Callable[[], None] | None = None
         self.is_up = True
+        self._is_silent = False
         self._life = trio.CancelScope()
         self._started = trio.Event()
 
@@ -123,16 +125,21 @@
                     await accept_all(listen(self.address), self._serve, nursery)
             await self._started.wait()
 
-    def crash(self) -> None:
-        """Close the listener and all connections; nothing more is answered."""
+    def crash(self, silently: bool = False) -> None:
+        """Answer nothing more; close all connections, unless it happens silently."""
         self.is_up = False
         self._started = trio.Event()
-        self._life.cancel()
+        self._is_silent = silently
+        if not silently:
+            self._life.cancel()
 
     def start_again(self, instance: str) -> None:
         """Serve as a new incarnation after a crash."""
         self.instance = instance
         self.is_up = True
+        if self._is_silent:
+            self._is_silent = False
+            self._life.cancel()
         self._started.set()
 
     async def _serve(self, stream: Stream) -> None:
@@ -143,6 +150,8 @@
         await serve_requests(stream, reader, self._answer)
 
     async def _answer(self, stream: Stream, req: Request) -> None:
+        if self._is_silent:
+            await trio.sleep_forever()
         self.heads.append(req)
         names = self._names
         request_id = _header(req, names.request_id)
@@ -157,10 +166,12 @@
         if not await self._work(stream, behaviour.work):
             self.cancelled.append(request_id)
             raise BrokenStream("the caller left")
-        if behaviour.manner is Manner.CRASH and self.is_up:
-            self.crash()
+        if behaviour.manner in (Manner.CRASH, Manner.CRASH_SILENTLY) and self.is_up:
+            self.crash(silently=behaviour.manner is Manner.CRASH_SILENTLY)
             if self.on_crash is not None:
                 self.on_crash()
+        if self._is_silent:
+            await trio.sleep_forever()
         if self.on_run is not None:
             try:
                 await self.on_run(request_id)
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/crash_play.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/crash_play.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import TYPE_CHECKING
 
 import trio
@@ -20,6 +21,16 @@
     from fuchsiagap_standins.mesh.deployment import Deployment, Host
 
 POISON = b"poison"
+
+
+class Manners(Enum):
+    """What is seen of a server that crashes."""
+
+    RESET = "its connections end"
+    SILENT = "its connections stay open and nothing is answered"
+    WITH_NODE = "the node beside it ends with it"
+
+
 _PLACES = "abc"
 # Seconds between the starts of two servers that crashed at the same moment, at most.
 _START_SPREAD_S = 0.2
@@ -57,6 +68,8 @@
         Requests that a server runs at the same time.
     is_deep : bool
         Whether the poison reaches the servers as a call of servers of another service.
+    manner : Manners
+        What is seen of a server that crashes.
     """
 
     n_nodes: int = 12
@@ -73,6 +86,7 @@
     work_ms: float = 40.0
     slots: int = 16
     is_deep: bool = False
+    manner: Manners = Manners.RESET
 
 
 @dataclass(slots=True)
@@ -208,12 +222,20 @@
         if req.body != POISON:
             return Behaviour(work=work)
         self._record.arrived_at.append(trio.current_time())
-        return Behaviour(Manner.CRASH, self._scenario.crash_after_ms)
+        is_silent = self._scenario.manner is Manners.SILENT
+        manner = Manner.CRASH_SILENTLY if is_silent else Manner.CRASH
+        return Behaviour(manner, self._scenario.crash_after_ms)
 
     def _crashed(self, host: Host) -> None:
         self._record.crashed_at.append(trio.current_time())
+        if self._scenario.manner is Manners.WITH_NODE:
+            self._now(host).kill()
         self._start_later(host)
 
+    def _now(self, host: Host) -> Host:
+        """Return a host as it is since its node was last started."""
+        return next(h for h in self._hosts if h.server is host.server)
+
     def _start_later(self, host: Host) -> None:
         """Start a crashed server again as a new incarnation."""
 
@@ -221,6 +243,9 @@
             spread = self._rng.uniform(0.0, _START_SPREAD_S)
             await trio.sleep(self._scenario.down_s + spread)
             host.server.start_again(f"i-{next(self._numbers)}")
+            if self._scenario.manner is Manners.WITH_NODE:
+                index = self._hosts.index(self._now(host))
+                self._hosts[index] = self._deployment.restart(self._hosts[index])
 
         self._deployment.nursery.start_soon(start)
 
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -96,6 +96,12 @@
             )
         )
 
+    def kill(self) -> None:
+        """End the node at once: a process that is killed sends nothing more."""
+        for link in self.node.taking_links():
+            link.close()
+        self.scope.cancel()
+
     async def send(
         self,
         path: str,
@@ -199,7 +205,7 @@
 
     def restart(self, host: Host) -> Host:
         """Kill a node and start it again at its addresses, beside the same server."""
-        host.scope.cancel()
+        host.kill()
         rng = random.Random(len(self.hosts))
         node = Node(host.node.cfg, host.store, _no_reports, rng=rng)
         again = Host(node, host.server, host.store, host.slots, sequence=host.sequence)
