--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/crash_reports.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/crash_reports.py
@@ -115,9 +115,15 @@
                     self._tell_cleared(news, sender)
 
     def greet(self, post: Post) -> None:
-        """Tell a node that has just been linked which requests are held."""
+        """Tell a node that has just been linked what it may have missed.
+
+        Of crashes only what may soon be held: without it, nodes that start anew one
+        after the other would forget what a request did that comes seldom.
+        """
         for held in self.quarantine.held():
             post(held)
+        for crash in self.quarantine.evidence():
+            post(crash)
 
     def may_be_sent(self, fingerprint: bytes) -> bool:
         """Whether an entry may send a request on to a server's node."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_crash_reports.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_crash_reports.py
@@ -86,6 +86,15 @@
         nodes.reports[0].greet(lambda report: again.take(report, "0"))
         self.assertFalse(again.may_be_sent(GUILTY))
 
+    def test_nodes_that_start_one_after_the_other_forget_no_crash(self):
+        nodes = Nodes(2)
+        nodes.crash(0, GUILTY)
+        nodes.crash(0, GUILTY)
+        again = Nodes(1).reports[0]
+        nodes.reports[1].greet(lambda report: again.take(report, "1"))
+        again.server_crashed("i-9", frozenset({GUILTY}))
+        self.assertFalse(again.may_be_sent(GUILTY))
+
     def test_request_that_one_node_saw_answered_is_held_by_none(self):
         nodes = Nodes(5)
         nodes.reports[4].answered(COMMON)
--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
@@ -11,9 +11,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
+    from typing import TypeAlias
 
     from fuchsiagap.core.clock import Clock, Milliseconds
 
+    # When a crash was, the service of the server, and what it ran.
+    _Known: TypeAlias = tuple[Milliseconds, str, set[bytes]]
+
 # Crashes from which on a request is not tried again while it is asked for: each trial
 # crashes one more server.
 _NO_MORE_TRIALS = 6
@@ -139,7 +143,7 @@
         self._clock = clock
         self._answered = AnsweredLately(cfg.answered_ms, cfg.most_answered)
         self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
-        self._crashes: OrderedDict[str, tuple[Milliseconds, set[bytes]]] = OrderedDict()
+        self._crashes: OrderedDict[str, _Known] = OrderedDict()
         self._held: OrderedDict[bytes, _Hold] = OrderedDict()
 
     @property
@@ -188,7 +192,8 @@
             What of it was not known; empty if all was.
         """
         at = self._clock.now() - crash.age
-        _, known = self._crashes.setdefault(crash.incarnation, (at, set()))
+        entry = (at, crash.service, set[bytes]())
+        _, _, known = self._crashes.setdefault(crash.incarnation, entry)
         fresh = crash.fingerprints - known
         known |= fresh
         _trim(self._crashes, self._cfg.most_crashes)
@@ -231,15 +236,16 @@
         n_crashes = len(suspect.crashes)
         if n_crashes < ONLY_CAUSE:
             return Case(n_crashes, 0, 0)
+        least = max(n_crashes - 1, ONLY_CAUSE)
         rivals = sum(
-            len(other.crashes) >= n_crashes
+            len(other.crashes) >= least
             for name, other in self._suspects.items()
             if name != fingerprint and name not in self._held
         )
         since = self._clock.now() - self._cfg.other_ms
         others = sum(
             at >= since and fingerprint not in present and not self._explains(present)
-            for at, present in self._crashes.values()
+            for at, _, present in self._crashes.values()
         )
         return Case(n_crashes, rivals, others)
 
@@ -302,6 +308,18 @@
             age = max(now - hold.since, 0.0)
             yield Held(fingerprint, hold.service, hold.crashes, age)
 
+    def evidence(self) -> Iterator[Crash]:
+        """Yield crashes with the requests that were at work at more than one."""
+        now = self._clock.now()
+        for incarnation, (at, service, present) in self._crashes.items():
+            repeated = frozenset(f for f in present if self._is_repeated(f))
+            if repeated:
+                yield Crash(incarnation, service, max(now - at, 0.0), repeated)
+
+    def _is_repeated(self, fingerprint: bytes) -> bool:
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and len(suspect.crashes) > 1
+
 
 def _trim(table: OrderedDict[Any, Any], most: int) -> None:
     """Forget the oldest entries beyond a number."""
--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/verdict.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/verdict.py
@@ -10,9 +10,9 @@
 ONLY_CAUSE = 3
 LIKELY_CAUSE = 4
 CERTAIN_CAUSE = 5
-# Requests with as many crashes beyond which none of them is held: a service that
-# crashes whatever it runs would lose all its requests.
-_MOST_RIVALS = 8
+# Other requests with hardly fewer crashes from which on none of them is held: servers
+# that crash whatever they run would lose all their requests.
+_MOST_RIVALS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +24,7 @@
     crashes : int
         Crashes at which it was at work, since it was last answered.
     rivals : int
-        Other requests that were at work at as many.
+        Other requests that were at work at as many, or at one less.
     others : int
         Recent crashes at which neither it nor a request that is held was at work.
     """
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/quarantine/test_quarantine.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/quarantine/test_quarantine.py
@@ -94,6 +94,18 @@
         play.quarantine.note_answered(b"b")
         self.assertEqual([b"a"], play.crash(5, b"a"))
 
+    def test_three_requests_that_always_come_together_are_held_in_the_end(self):
+        play = APlay()
+        guilty = [b"a", b"b", b"c"]
+        for number in range(4):
+            self.assertEqual([], play.crash(number, *guilty))
+        self.assertEqual(guilty, play.crash(5, *guilty))
+
+    def test_requests_that_share_all_crashes_with_many_are_not_held(self):
+        play = APlay()
+        for number in range(20):
+            self.assertEqual([], play.crash(number, *(b"%d" % n for n in range(9))))
+
     def test_old_crashes_are_no_evidence(self):
         play = APlay()
         play.crash(1, b"a")
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/quarantine/test_verdict.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/quarantine/test_verdict.py
@@ -17,4 +17,4 @@
         self.assertTrue(is_convincing(Case(crashes=5, rivals=1, others=0)))
 
     def test_nobody_is_held_where_servers_crash_whatever_they_run(self):
-        self.assertFalse(is_convincing(Case(crashes=9, rivals=60, others=0)))
+        self.assertFalse(is_convincing(Case(crashes=9, rivals=3, others=0)))
