--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/story.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/story.py
@@ -20,6 +20,7 @@
     {
         "admission-changed",
         "backend-changed",
+        "backend-crashed",
         "backend-unreachable",
         "config-adopted",
         "ending",
@@ -65,9 +66,25 @@
     if not own and not calls:
         return None
     around = _around(lines, own + calls)
-    return Story(
-        _sorted(own), _sorted(calls), _sorted(around), _cause(own, calls, around)
-    )
+    held = _held(lines, own + calls)
+    cause = held or _cause(own, calls, around)
+    return Story(_sorted(own), _sorted(calls), _sorted(around), cause)
+
+
+def _held(lines: Sequence[Line], told: Sequence[Line]) -> str:
+    """Return the cause of a request that no server may run; empty if it is another."""
+    refused = [line for line in told if line.event == "quarantine-refused"]
+    if not refused:
+        return ""
+    fingerprint = refused[-1].fields.get("fingerprint")
+    holds = [
+        line
+        for line in _sorted(lines)
+        if line.event == "quarantine-held"
+        and line.fields.get("fingerprint") == fingerprint
+    ]
+    why = f"not sent: requests like it crash servers (fingerprint {fingerprint})"
+    return f"{why}; {holds[-1].text()}" if holds else why
 
 
 def _sorted(lines: Sequence[Line]) -> tuple[Line, ...]:
--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
@@ -5,6 +5,8 @@
 import trio
 from testtools import TestCase
 
+from fuchsiagap.core.quarantine.fingerprint import fingerprint
+from fuchsiagap.core.quarantine.quarantine import Held
 from fuchsiagap.core.retries.shares import SharedBudget
 from fuchsiagap_ctl.exit_codes import ExitCode
 from fuchsiagap_ctl.explain.lines import read_lines
@@ -14,6 +16,7 @@
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
 from fuchsiagap_standins.mesh.virtual import run_on_loopback
 
+GUILTY = (b"GET", "api.example", b"/read/1", (), b"")
 NO_REPEATS = SharedBudget(0.0, 0.0, 10_000.0)
 
 
@@ -57,6 +60,19 @@
         story = tell(read_lines(lines).lines, "r1")
         self.assertIn("broken answer", story.cause)
 
+    def test_request_that_crashes_servers_is_told_apart(self):
+        async def act(caller, served):
+            held = Held(fingerprint(*GUILTY), "certs", 4, 0.0)
+            caller.node.reports.take(held, "certs-1")
+            answer = await caller.send("/read/1", "r1")
+            self.assertEqual(503, answer.status)
+            self.assertEqual([], served.server.heads)
+
+        lines = lines_of(Behaviour(), a_route("read"), act)
+        story = tell(read_lines(lines).lines, "r1")
+        self.assertIn("requests like it crash servers", story.cause)
+        self.assertIn("crashes=4", story.cause)
+
     def test_refused_by_every_server(self):
         async def act(caller, served):
             await caller.send("/read/1", "r1")
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/crash_reports.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/crash_reports.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.quarantine.lost_servers import LostServers
 from fuchsiagap.core.quarantine.quarantine import Crash, Held, Quarantine
 from fuchsiagap_node.core.mesh.messages import Cleared
@@ -27,8 +28,8 @@
 # crashes are as long as servers have places. Holds are short, and told on all.
 _TOLD_ALL = 16
 _TOLD_SOME = 8
-# Refusals of one request for which one line is written.
-_REFUSED_A_LINE = 100
+# Refusals a second that get a line each; the others are counted only.
+_REFUSED_LINES_A_S = 20
 
 
 class CrashReports:
@@ -72,6 +73,7 @@
         self._service = service
         self._rng = rng
         self._tell = teller
+        self._refused_in = -1
         self._n_refused = 0
         self.posts: Callable[[], Mapping[str, Post]] = dict
 
@@ -147,16 +149,19 @@
         return True
 
     def refused(self, fingerprint: bytes, request_id: str) -> None:
-        """Count a refusal, and write a line for some."""
+        """Count a refusal, and write a line unless there were many this second."""
         self._tell.counts["quarantine_refused", ""] += 1
-        if self._n_refused % _REFUSED_A_LINE == 0:
+        second = int(self._clock.now() / MS_PER_S)
+        if second != self._refused_in:
+            self._refused_in, self._n_refused = second, 0
+        self._n_refused += 1
+        if self._n_refused <= _REFUSED_LINES_A_S:
             self._tell.event(
                 "quarantine-refused",
                 request=request_id,
                 fingerprint=fingerprint.hex(),
                 wait=round(self.quarantine.wait_of(fingerprint)),
             )
-        self._n_refused += 1
 
     def _take_crash(self, crash: Crash, sender: str) -> None:
         quarantine = self.quarantine
