--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -4,17 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-import trio
-
 from fuchsiagap.core.door.health import ServerHealth
 from fuchsiagap.core.door.incarnation import BackendState, Incarnation
 from fuchsiagap.core.door.lost import LostTrees
 from fuchsiagap.core.door.offered import OfferedLoad
 from fuchsiagap.core.door.queue import DoorQueue
 from fuchsiagap.core.door.turns import RankTurns
-from fuchsiagap_node.core.mesh.backend_conn import BackendConn
+from fuchsiagap_node.core.mesh.backend_conns import LEAST_LEFT_MS, BackendConns
 from fuchsiagap_node.core.mesh.crash_reports import CrashReports
-from fuchsiagap_node.core.mesh.idle_conns import IdleConns
 from fuchsiagap_node.core.mesh.outcome import (
     CANCELLED,
     EXPIRED,
@@ -31,7 +28,6 @@
 )
 from fuchsiagap_node.core.mesh.paid_repeats import PaidRepeats
 from fuchsiagap_node.core.mesh.server_crashes import ServerCrashes
-from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
     import random
@@ -41,6 +37,7 @@
     from fuchsiagap.core.door.incarnation import BackendReport
     from fuchsiagap_node.core.mesh.job import Job
     from fuchsiagap_node.core.mesh.settings import MeshSettings
+    from fuchsiagap_node.core.mesh.stream import BrokenStream
     from fuchsiagap_node.core.mesh.telling import Teller
 
 # Weight of one request in the mean time at the server: about the last 50 count.
@@ -52,8 +49,6 @@
 # Milliseconds past its deadline for which a call is left with the server, that may be
 # sending its own last word.
 _LAST_WORD_MS = 80.0
-# Milliseconds that must be left for a call to be worth handing over.
-_LEAST_LEFT_MS = 1.0
 
 
 class Door:
@@ -97,15 +92,16 @@
         self.turns = RankTurns()
         self._lost = LostTrees()
         self._incarnation = Incarnation()
-        self._idle = IdleConns()
+        self._conns = BackendConns(cfg, clock, teller, self._settle)
         self._at_server: dict[Job, None] = {}
-        self._carried: dict[BackendConn, Job] = {}
         self._by_id: dict[str, Job] = {}
-        self._nursery: trio.Nursery | None = None
         self._usable = ""
         self._health = ServerHealth(clock.now())
         self._crashes = ServerCrashes(clock, teller, self._at_work)
         self._crashes.on_crash = self.reports.server_crashed
+        self._conns.on_word = self._crashes.take_answer
+        self._conns.on_unreachable = self._unreachable
+        self._conns.is_doubted = lambda: self._crashes.is_doubted
         self._warm_at = 0.0
         self._typical_ms = 0.0
         self._n_timed = 0
@@ -115,6 +111,7 @@
     def adopt(self, cfg: MeshSettings) -> None:
         """Go on under changed settings."""
         self._cfg = cfg
+        self._conns.adopt(cfg)
         self.repeats.adopt(cfg.budget)
 
     @property
@@ -222,7 +219,7 @@
         # It has started again under its identifier. Calls under way end with their
         # connections, as unknown; some may be with the new one already. None is to be
         # sent on a connection of the earlier one.
-        self._idle.close_all()
+        self._conns.close_idle()
 
     def _follow(self, report: BackendReport) -> None:
         """Go by a report of the server."""
@@ -258,13 +255,7 @@
 
     async def run(self) -> None:
         """Hold the tasks of the connections until cancelled."""
-        async with trio.open_nursery() as self._nursery:
-            try:
-                await trio.sleep_forever()
-            finally:
-                # Calls that end with the node give their places to none: a nursery
-                # that is closed takes no tasks.
-                self._nursery = None
+        await self._conns.run()
 
     def look(self) -> None:
         """Give up what is late, and notice that the server has come or gone."""
@@ -323,19 +314,16 @@
         if job not in self._at_server:
             # The reply to another one has ended it, as where a caller leaves with all.
             return
-        conn = job.conn
-        if conn is not None:
-            conn.call = None
-            conn.close()
+        self._conns.break_off(job)
         self._settle(job, outcome)
 
     def _start(self, job: Job) -> None:
         """Give a call its place, on an idle connection or on a new one."""
         now = self._clock.now()
-        if job.deadline - now < _LEAST_LEFT_MS:
+        if job.deadline - now < LEAST_LEFT_MS:
             job.reply(NotRun(EXPIRED))
             return
-        if self._nursery is None:
+        if not self._conns.is_running:
             job.reply(NotRun(NO_BACKEND))
             return
         # Also here, where all that may run passes: its entry may not know yet.
@@ -347,117 +335,11 @@
         self._at_server[job] = None
         self._by_id[job.call.request_id] = job
         job.started = now
-        conn = self._idle.take(job.call.idempotent, now)
-        while conn is not None:
-            self._carry(conn, job)
-            if conn.send(job.call, job.deadline - now):
-                self._push_rest(conn)
-                return
-            conn = self._idle.take(job.call.idempotent, now)
-        conn = BackendConn(self._cfg, self._clock)
-        self._carry(conn, job)
-        self._nursery.start_soon(self._own, conn, job)
-
-    def _carry(self, conn: BackendConn, job: Job) -> None:
-        """Note which connection carries a call; one that broke carries none."""
-        if job.conn is not None:
-            del self._carried[job.conn]
-        job.conn = conn
-        self._carried[conn] = job
-
-    def _push_rest(self, conn: BackendConn) -> None:
-        if conn.has_unsent and self._nursery is not None:
-            self._nursery.start_soon(conn.push)
-
-    async def _own(self, conn: BackendConn, job: Job) -> None:
-        """Own one connection, from its first call until it is closed."""
-        try:
-            if await self._open(conn, job):
-                await self._read(conn)
-        except Exception as exc:
-            self._tell.fault("backend-connection", exc)
-            conn.close()
-            why = f"fault of the node: {type(exc).__name__}"
-            self._take_outcome(conn, MayHaveRun(why))
-        finally:
-            conn.close()
-            self._idle.forget(conn)
-            self._check_server()
-
-    async def _read(self, conn: BackendConn) -> None:
-        """Read the answers of a connection until it is closed."""
-        while not conn.closed:
-            outcome = await conn.read()
-            if conn.silent:
-                self._close_older(conn)
-            if outcome is not None:
-                self._take_outcome(conn, outcome)
-
-    def _check_server(self) -> None:
-        """Dial a server that has closed all connections: a crash is known at once."""
-        is_open = bool(self._carried) or len(self._idle) > 0
-        if self._crashes.is_doubted and not is_open and self._nursery is not None:
-            self._nursery.start_soon(self._dial_to_check)
-
-    async def _dial_to_check(self) -> None:
-        """Open a connection; keep it for the next call if the server takes it."""
-        conn = BackendConn(self._cfg, self._clock)
-        try:
-            await conn.open()
-            conn.idle_since = self._clock.now()
-            self._idle.keep(conn)
-            await self._read(conn)
-        except BrokenStream as exc:
-            self._unreachable(exc)
-        except Exception as exc:
-            self._tell.fault("backend-check", exc)
-        finally:
-            conn.close()
-            self._idle.forget(conn)
-
-    def _close_older(self, silent: BackendConn) -> None:
-        """Close the idle connections that share the fate of one that fell silent."""
-        job = self._carried.get(silent)
-        since = silent.idle_since if job is None else job.started
-        closed = self._idle.close_older(silent, since)
-        self._tell.event("backend-silent", closed=closed)
-
-    async def _open(self, conn: BackendConn, job: Job) -> bool:
-        """Open a connection and send its first call; False if that failed."""
-        try:
-            await conn.open()
-        except BrokenStream as exc:
-            if job.conn is conn:
-                self._unreachable(exc)
-                self._settle(job, NotRun(f"no connection: {exc}"))
-            return False
-        if job.conn is not conn or conn.closed:
-            return False
-        left = job.deadline - self._clock.now()
-        if left < _LEAST_LEFT_MS:
-            self._settle(job, NotRun(EXPIRED))
-            return False
-        if not conn.send(job.call, left):
-            self._settle(job, NotRun("closed at once", offered=True))
-            return False
-        self._push_rest(conn)
-        return True
-
-    def _take_outcome(self, conn: BackendConn, outcome: Outcome) -> None:
-        """Settle the call of a connection, and keep the connection if it is whole."""
-        conn.call = None
-        job = self._carried.get(conn)
-        self._crashes.take_answer(outcome)
-        if not conn.closed:
-            self._idle.keep(conn)
-        if job is not None:
-            self._settle(job, outcome)
+        self._conns.hand_over(job)
 
     def _settle(self, job: Job, outcome: Outcome) -> None:
         """Reply to a call that had a place, and give the place to the next one."""
-        if job.conn is not None:
-            del self._carried[job.conn]
-            job.conn = None
+        self._conns.release(job)
         self._queue.running -= 1
         del self._at_server[job]
         if self._by_id.get(job.call.request_id) is job:
@@ -488,9 +370,9 @@
         for job in late:
             if job.conn is not None:
                 # Nothing may have come on it since: those unused since are no better.
-                self._idle.close_older(job.conn, job.started)
+                self._conns.give_up_unused(job.conn)
             self._break_off(job, MayHaveRun(EXPIRED))
-        self._idle.close_outlived(now)
+        self._conns.close_outlived(now)
 
     def _unreachable(self, cause: BrokenStream) -> None:
         """Leave a server alone that took no connection."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -16,6 +16,7 @@
 from fuchsiagap.core.door.incarnation import BackendReport, BackendState
 from fuchsiagap.core.routes.table import RouteTable, ShareRotation
 from fuchsiagap_node.core.mesh.admission import STEP_MS, Admission
+from fuchsiagap_node.core.mesh.after_waiting import AfterWaiting
 from fuchsiagap_node.core.mesh.callers import SWEEP_MS, CallerEdge
 from fuchsiagap_node.core.mesh.config_sync import LOOK_MS as CONFIG_LOOK_MS
 from fuchsiagap_node.core.mesh.config_sync import ConfigSync
@@ -30,6 +31,7 @@
     quarantine_gauges,
 )
 from fuchsiagap_node.core.mesh.links import Links
+from fuchsiagap_node.core.mesh.load_line import load_fields
 from fuchsiagap_node.core.mesh.member_sync import MemberSync
 from fuchsiagap_node.core.mesh.messages import Hello, Status
 from fuchsiagap_node.core.mesh.outcome import LEAVING
@@ -104,23 +106,6 @@
     return load // step * step
 
 
-class _AfterWaiting(trio.abc.Instrument):
-    """Calls a function each time the loop has waited, before the tasks run.
-
-    Parameters
-    ----------
-    call : callable
-        The function.
-    """
-
-    def __init__(self, call: Callable[[], None]) -> None:
-        self._call = call
-
-    def after_io_wait(self, timeout: float) -> None:
-        """Call it."""
-        self._call()
-
-
 class Node:
     """A node of a deployment.
 
@@ -320,38 +305,15 @@
         agree, and whether what they believe is what the servers say, can be seen only
         where all of it stands at the same moments.
         """
-        door = self.door
-        refusing = {
-            f"{service} {route}": (
-                round(share, 2),
-                round(self._pressures.of(service, route), 2),
-            )
-            for service, route, share in self._admission.shares()
-            if share < 1.0
-        }
-        if not door.load and not refusing:
-            return
-        now = self._clock.now()
-        served = {
-            route: (round(kind.share(), 2), round(kind.success(), 2))
-            for route, kind in self._placing.served.all(now)
-        }
-        ranks = {
-            rank: (round(turns.came), round(turns.marked))
-            for rank, turns in door.turns.all(now)
-        }
-        self.tell.event(
-            "load",
-            running=door.running,
-            waiting=door.load - door.running,
-            places=door.limit,
-            offered=round(door.offered(), 1),
-            failing=round(door.failing(), 2),
-            service_ms=round(door.service_ms, 1),
-            ranks=ranks,
-            let_in=refusing,
-            served=served,
+        fields = load_fields(
+            self.door,
+            self._pressures,
+            self._admission,
+            self._placing.served,
+            self._clock.now(),
         )
+        if fields:
+            self.tell.event("load", **fields)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then stop without cutting anything."""
@@ -377,7 +339,7 @@
         cfg = self.cfg
         names = cfg.names
         self.tell.event("started", service=cfg.service, data_centre=cfg.data_centre)
-        trio.lowlevel.add_instrument(_AfterWaiting(self._look_for_suspension))
+        trio.lowlevel.add_instrument(AfterWaiting(self._look_for_suspension))
         async with trio.open_nursery() as nursery:
             self._config.nursery = nursery
             self._links.nursery = nursery
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_door.py
@@ -108,11 +108,11 @@
                 await trio.sleep(0.2)
                 await host.send("/read/1", "r4")
                 door = host.node.door
-                before = len(door._idle)
+                before = len(door._conns._idle)
                 # The one used last lives: the others were heard on before it.
-                door._close_older(door._idle._conns[-2])
+                door._conns.close_older(door._conns._idle._conns[-2])
                 await trio.sleep(0.1)
-                left = len(door._idle)
+                left = len(door._conns._idle)
                 answer = await host.send("/read/1", "r5")
                 return before, left, answer.status
 
