Notice suspensions and digest requests for less

The look after each wait went through four calls of Python and two clocks: a turn of the loop took 3 us more. Two calls are left: 1.0 to 1.2 us more than 5.5 to 6 us, timed alone. A digest is made of one piece of bytes and the body: 1.4 us before.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -16,7 +16,6 @@
 from fuchsiagap.core.door.incarnation import BackendReport, BackendState
 from fuchsiagap.core.routes.table import RouteTable, ShareRotation
 from fuchsiagap_node.core.mesh.admission import STEP_MS, Admission
-from fuchsiagap_node.core.mesh.after_waiting import AfterWaiting
 from fuchsiagap_node.core.mesh.callers import SWEEP_MS, CallerEdge
 from fuchsiagap_node.core.mesh.config_sync import LOOK_MS as CONFIG_LOOK_MS
 from fuchsiagap_node.core.mesh.config_sync import ConfigSync
@@ -43,6 +42,7 @@
 from fuchsiagap_node.core.mesh.sending import Member, SendingLink
 from fuchsiagap_node.core.mesh.side_http import serve_side
 from fuchsiagap_node.core.mesh.stream import accept_all, listen
+from fuchsiagap_node.core.mesh.suspension_watch import SuspensionWatch
 from fuchsiagap_node.core.mesh.taking import TakingLinks
 from fuchsiagap_node.core.mesh.telling import FLUSH_MS, Teller
 from fuchsiagap_node.core.mesh.ticker import TICK_MS, Ticker
@@ -239,16 +239,13 @@
         self._links.close_all()
         self._taking.close_all()
 
-    def _look_for_suspension(self) -> None:
-        """Begin anew with others if the host was suspended.
+    def _begin_anew(self, suspended: Milliseconds) -> None:
+        """Begin anew with others after the host was suspended.
 
         What waits to be read was sent before or meanwhile and nobody can tell when:
         statuses, configurations and calls on links are dropped with them, and callers
         are taken to have waited since it began. It runs before any task does.
         """
-        suspended = self._clock.catch_up()
-        if not suspended:
-            return
         self.tell.event("woke", suspended=round(suspended))
         self.close_links()
         self._callers.note_suspension(suspended)
@@ -339,7 +336,8 @@
         cfg = self.cfg
         names = cfg.names
         self.tell.event("started", service=cfg.service, data_centre=cfg.data_centre)
-        trio.lowlevel.add_instrument(AfterWaiting(self._look_for_suspension))
+        watch = SuspensionWatch(self._clock.catch_up, self._begin_anew)
+        trio.lowlevel.add_instrument(watch)
         async with trio.open_nursery() as nursery:
             self._config.nursery = nursery
             self._links.nursery = nursery
--- a/packages/fuchsiagap/src/fuchsiagap/core/clock.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/clock.py
@@ -18,9 +18,9 @@
 Milliseconds: TypeAlias = float
 
 MS_PER_S = 1000.0
-# Milliseconds of a suspension below which nothing is done about it: a busy host holds
-# up a process for as long.
-_LEAST_SUSPENSION_MS = 200.0
+# Seconds of a suspension below which nothing is done about it: a busy host holds up a
+# process for as long.
+_LEAST_SUSPENSION_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,23 +86,21 @@
     ``CLOCK_BOOTTIME`` does, and is read by `Clock.catch_up` only: on the path of a
     request the time is read some 16 times. It does not follow a virtual clock.
     """
-
-    def ahead() -> Milliseconds:
-        counted = time.clock_gettime(time.CLOCK_BOOTTIME)
-        return (counted - time.monotonic()) * MS_PER_S
-
-    offset = ahead()
+    read, counting, steady = time.clock_gettime, time.CLOCK_BOOTTIME, time.monotonic
+    ahead_s = read(counting) - steady()
+    offset = ahead_s * MS_PER_S
 
     def now() -> Milliseconds:
-        return time.monotonic() * MS_PER_S + offset
+        return steady() * MS_PER_S + offset
 
     def catch_up() -> Milliseconds:
-        nonlocal offset
-        suspended = ahead() - offset
-        if suspended < _LEAST_SUSPENSION_MS:
+        nonlocal ahead_s, offset
+        suspended_s = read(counting) - steady() - ahead_s
+        if suspended_s < _LEAST_SUSPENSION_S:
             return 0.0
-        offset += suspended
-        return suspended
+        ahead_s += suspended_s
+        offset = ahead_s * MS_PER_S
+        return suspended_s * MS_PER_S
 
     return Clock(now, lambda: time.time() * MS_PER_S, catch_up)
 
--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/fingerprint.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/fingerprint.py
@@ -33,10 +33,9 @@
         `FINGERPRINT_BYTES` bytes. BLAKE2b (RFC 7693) resists second preimages, so no
         caller can make a request with the digest of another's.
     """
-    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (method, host.encode(), target, *identity):
-        # Lengths keep the parts apart: a longer host and a shorter target differ.
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
+    # Lengths keep the parts apart: a longer host and a shorter target differ.
+    parts = (method, host.encode(), target, *identity)
+    head = b"".join([b"%d:%b" % (len(part), part) for part in parts])
+    digest = hashlib.blake2b(head, digest_size=FINGERPRINT_BYTES)
     digest.update(body)
     return digest.digest()
