--- a/conftest.py
+++ b/conftest.py
@@ -13,6 +13,8 @@
 _GROUPS = {
     "test_soak": "soak",
     "test_sheet": "sheets",
+    # Plays of real nodes in virtual time, which keep a core busy for minutes.
+    "test_crashing": "sheets",
     "test_signals": "processes",
     "test_processes": "processes",
 }
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
@@ -39,7 +39,7 @@
 
     Attributes
     ----------
-    on_word : callable
+    on_outcome : callable
         Told what the server said, or that it broke off, before `settle` is.
     on_unreachable : callable
         Told why the server took no connection.
@@ -61,7 +61,7 @@
         self._idle = IdleConns()
         self._carried: dict[BackendConn, Job] = {}
         self._nursery: trio.Nursery | None = None
-        self.on_word: Callable[[Outcome], None] = _ignore
+        self.on_outcome: Callable[[Outcome], None] = _ignore
         self.on_unreachable: Callable[[BrokenStream], None] = _ignore
         self.is_doubted: Callable[[], bool] = bool
 
@@ -84,7 +84,7 @@
                 # that is closed takes no tasks.
                 self._nursery = None
 
-    def hand_over(self, job: Job) -> None:
+    def dispatch(self, job: Job) -> None:
         """Send a call on an idle connection, or on a new one."""
         assert self._nursery is not None
         now = self._clock.now()
@@ -192,7 +192,7 @@
         """Settle the call of a connection, and keep the connection if it is whole."""
         conn.call = None
         job = self._carried.get(conn)
-        self.on_word(outcome)
+        self.on_outcome(outcome)
         if not conn.closed:
             self._idle.keep(conn)
         if job is not None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -140,12 +140,12 @@
         """Return a reader under the limits in force."""
         return RequestReader(self._cfg.names, self.limits)
 
-    def note_suspension(self, suspended: Milliseconds) -> None:
+    def record_suspension(self, suspended: Milliseconds) -> None:
         """Take in that the host was suspended, with requests that nobody has read."""
         self._suspended = suspended
         self._unread_until = self._clock.now() + _UNREAD_MS
 
-    def _without_waiting(self, req: Request) -> Request:
+    def _age_unread(self, req: Request) -> Request:
         """Return a request with the time that its caller is sure to wait from now."""
         if req.wait is None or self._clock.now() >= self._unread_until:
             return req
@@ -153,7 +153,7 @@
 
     def begin(self, req: Request, done: OnFinal, turn: CallerTurn) -> Placement | None:
         """Begin to answer a request; a fault in it is answered, too."""
-        req = self._without_waiting(req)
+        req = self._age_unread(req)
         if req.wait is not None and req.wait <= 0.0:
             done(Final(503, retry_after=RETRY_AFTER_MS))
             return None
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/crash_reports.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/crash_reports.py
@@ -55,7 +55,7 @@
     ----------
     quarantine : Quarantine
         What the node knows.
-    posts : callable
+    peers : callable
         Returns how to reach each node that is linked now, by its name.
     """
 
@@ -75,48 +75,50 @@
         self._tell = teller
         self._refused_in = -1
         self._n_refused = 0
-        self.posts: Callable[[], Mapping[str, Post]] = dict
+        self.peers: Callable[[], Mapping[str, Post]] = dict
 
-    def server_crashed(self, incarnation: str, fingerprints: frozenset[bytes]) -> None:
+    def report_crash(self, incarnation: str, fingerprints: frozenset[bytes]) -> None:
         """Tell of a crash of the own server."""
         unanswered = fingerprints.difference(self.quarantine.answered_of(fingerprints))
         crash = Crash(incarnation, self._service, 0.0, unanswered)
-        self._take_crash(crash, "")
+        self._handle_crash(crash, "")
 
-    def link_lost(self, node: str, instance: str, fingerprint: bytes) -> None:
+    def record_lost_link(self, node: str, instance: str, fingerprint: bytes) -> None:
         """Take in that a request was lost with the link to a server's node."""
         now = self._clock.now()
-        self._lost.note_lost(node, instance, fingerprint, now)
+        self._lost.record_lost(node, instance, fingerprint, now)
 
-    def heard(self, node: str, service: str, instance: str) -> None:
+    def resolve_server(self, node: str, service: str, instance: str) -> None:
         """Take in which server stands beside a node; tell if the earlier one ended."""
-        found = self._lost.heard(node, instance)
+        found = self._lost.resolve(node, instance)
         if found is None:
             return
         ended, at, lost = found
         unanswered = lost.difference(self.quarantine.answered_of(lost))
         if unanswered:
             age = self._clock.now() - at
-            self._take_crash(Crash(ended, service, age, unanswered), "")
+            self._handle_crash(Crash(ended, service, age, unanswered), "")
 
-    def answered(self, fingerprint: bytes) -> None:
+    def record_answer(self, fingerprint: bytes) -> None:
         """Take in that a server answered a request."""
-        if self.quarantine.note_answered(fingerprint):
-            self._tell_cleared([fingerprint], "")
+        if self.quarantine.record_answer(fingerprint):
+            self._publish_cleared([fingerprint], "")
 
-    def take(self, report: Report, sender: str) -> None:
+    def handle(self, report: Report, sender: str) -> None:
         """Take in what another node tells, and pass on what is new."""
         match report:
             case Crash():
-                self._take_crash(report, sender)
+                self._handle_crash(report, sender)
             case Held():
-                self._take_held(report, sender)
+                self._handle_held(report, sender)
             case Cleared():
-                news = list(filter(self.quarantine.take_cleared, report.fingerprints))
+                news = list(
+                    filter(self.quarantine.apply_clearance, report.fingerprints)
+                )
                 if news:
-                    self._tell_cleared(news, sender)
+                    self._publish_cleared(news, sender)
 
-    def greet(self, post: Post) -> None:
+    def send_snapshot(self, post: Post) -> None:
         """Tell a node that has just been linked what it may have missed.
 
         Of crashes only what may soon be held: without it, nodes that start anew one
@@ -130,25 +132,25 @@
     def may_be_sent(self, fingerprint: bytes) -> bool:
         """Whether an entry may send a request on to a server's node."""
         quarantine = self.quarantine
-        return quarantine.admits(fingerprint) or not quarantine.wait_of(fingerprint)
+        return quarantine.admits(fingerprint) or not quarantine.retry_after(fingerprint)
 
     def may_run(self, fingerprint: bytes) -> bool:
-        """Whether the own server may run a request; a trial of one is told to all."""
+        """Whether the own server may run a request; a probe of one is told to all."""
         if self.quarantine.admits(fingerprint):
             return True
-        trial = self.quarantine.begin_trial(fingerprint)
-        if trial is None:
+        probe = self.quarantine.start_probe(fingerprint)
+        if probe is None:
             return False
         self._tell.event(
-            "quarantine-trial",
+            "quarantine-probe",
             fingerprint=fingerprint.hex(),
-            service=trial.service,
-            crashes=trial.crashes,
+            service=probe.service,
+            crashes=probe.crashes,
         )
-        self._post(trial, "")
+        self._broadcast(probe, "")
         return True
 
-    def refused(self, fingerprint: bytes, request_id: str) -> None:
+    def record_refusal(self, fingerprint: bytes, request_id: str) -> None:
         """Count a refusal, and write a line unless there were many this second."""
         self._tell.counts["quarantine_refused", ""] += 1
         second = int(self._clock.now() / MS_PER_S)
@@ -160,17 +162,17 @@
                 "quarantine-refused",
                 request=request_id,
                 fingerprint=fingerprint.hex(),
-                wait=round(self.quarantine.wait_of(fingerprint)),
+                wait=round(self.quarantine.retry_after(fingerprint)),
             )
 
-    def _take_crash(self, crash: Crash, sender: str) -> None:
+    def _handle_crash(self, crash: Crash, sender: str) -> None:
         quarantine = self.quarantine
-        fresh = quarantine.note_crash(crash)
+        fresh = quarantine.record_crash(crash)
         if not fresh:
             return
         answered = quarantine.answered_of(fresh)
         if answered:
-            self._tell_cleared(answered, "")
+            self._publish_cleared(answered, "")
         rest = Crash(
             crash.incarnation,
             crash.service,
@@ -178,39 +180,39 @@
             fresh.difference(answered),
         )
         if rest.fingerprints:
-            self._post(rest, sender)
-        for held in quarantine.judge(rest):
-            self._tell_held(held, "")
+            self._broadcast(rest, sender)
+        for held in quarantine.evaluate(rest):
+            self._publish_held(held, "")
 
-    def _take_held(self, held: Held, sender: str) -> None:
+    def _handle_held(self, held: Held, sender: str) -> None:
         if self.quarantine.was_answered(held.fingerprint):
-            self._tell_cleared([held.fingerprint], "")
-        elif self.quarantine.take_held(held):
-            self._tell_held(held, sender)
+            self._publish_cleared([held.fingerprint], "")
+        elif self.quarantine.apply_hold(held):
+            self._publish_held(held, sender)
 
-    def _tell_held(self, held: Held, sender: str) -> None:
+    def _publish_held(self, held: Held, sender: str) -> None:
         self._tell.event(
             "quarantine-held",
             fingerprint=held.fingerprint.hex(),
             service=held.service,
             crashes=held.crashes,
             age=round(held.age),
-            told_by=sender,
+            source=sender,
         )
-        self._post(held, sender)
+        self._broadcast(held, sender)
 
-    def _tell_cleared(self, fingerprints: Iterable[bytes], sender: str) -> None:
+    def _publish_cleared(self, fingerprints: Iterable[bytes], sender: str) -> None:
         cleared = Cleared(tuple(fingerprints))
         self._tell.event(
             "quarantine-cleared",
             fingerprints=[f.hex() for f in cleared.fingerprints],
-            told_by=sender,
+            source=sender,
         )
-        self._post(cleared, sender)
+        self._broadcast(cleared, sender)
 
-    def _post(self, report: Report, but: str) -> None:
+    def _broadcast(self, report: Report, but: str) -> None:
         """Send a report to the nodes that are linked, but for the one that told it."""
-        posts = self.posts()
+        posts = self.peers()
         names = [name for name in posts if name != but]
         if isinstance(report, Crash) and len(names) > _TOLD_ALL:
             names = self._rng.sample(names, _TOLD_SOME)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -98,8 +98,8 @@
         self._usable = ""
         self._health = ServerHealth(clock.now())
         self._crashes = ServerCrashes(clock, teller, self._at_work)
-        self._crashes.on_crash = self.reports.server_crashed
-        self._conns.on_word = self._crashes.take_answer
+        self._crashes.on_crash = self.reports.report_crash
+        self._conns.on_outcome = self._crashes.record_answer
         self._conns.on_unreachable = self._unreachable
         self._conns.is_doubted = lambda: self._crashes.is_doubted
         self._warm_at = 0.0
@@ -195,7 +195,7 @@
         same = old is not None and old.is_same_start(report)
         if same and old is not None and old.state is report.state:
             return
-        self._crashes.follow(report, same)
+        self._crashes.record_report(report, same)
         if not same:
             self._forget_earlier(old, report)
         self._tell.event(
@@ -235,7 +235,7 @@
             return
         report = self._incarnation.report
         assert report is not None
-        self._crashes.refute(report)
+        self._crashes.revert(report)
         self._follow(report)
         self._health.forget_failures()
         self._tell.event(
@@ -262,7 +262,7 @@
         now = self._clock.now()
         self._expire(now)
         if not self._health.is_heard(now, self._cfg.bounds.heartbeat):
-            self._crashes.take_silence()
+            self._crashes.record_heartbeat_timeout()
         usable = self.instance()
         if usable != self._usable:
             self._usable = usable
@@ -335,7 +335,7 @@
         self._at_server[job] = None
         self._by_id[job.call.request_id] = job
         job.started = now
-        self._conns.hand_over(job)
+        self._conns.dispatch(job)
 
     def _settle(self, job: Job, outcome: Outcome) -> None:
         """Reply to a call that had a place, and give the place to the next one."""
@@ -346,7 +346,7 @@
             del self._by_id[job.call.request_id]
         self._note(job, outcome)
         if isinstance(outcome, MayHaveRun):
-            self._crashes.take_unanswered(job)
+            self._crashes.record_unanswered(job)
         if isinstance(outcome, NotRun) and outcome.reason == OTHER_INCARNATION:
             self._refute(job.call.instance)
         job.reply(outcome)
@@ -378,7 +378,7 @@
         """Leave a server alone that took no connection."""
         self._health.note_unreachable(self._clock.now())
         self._tell.event("backend-unreachable", cause=str(cause))
-        self._crashes.take_unreachable(cause)
+        self._crashes.record_unreachable(cause)
         self.changed()
 
     def _at_work(self) -> frozenset[bytes]:
@@ -396,7 +396,7 @@
         match outcome:
             case Answered(status):
                 self._health.note_answer(now)
-                self.reports.answered(job.call.fingerprint)
+                self.reports.record_answer(job.call.fingerprint)
                 if status < 500:
                     self.repeats.note_answered(job.call.route, job.calls)
                 failed = status >= 500 and not job.fails_with_its_calls()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -200,9 +200,9 @@
         self._taking.on_hello = self._links.take_hello
         self._taking.config_text = self._config.text
         self._taking.below = below
-        self._taking.on_report = self.reports.take
-        self._taking.greet = self.reports.greet
-        self.reports.posts = self._posts
+        self._taking.on_report = self.reports.handle
+        self._taking.send_snapshot = self.reports.send_snapshot
+        self.reports.peers = self._posts
         self.door.changed = self._tell_status
         self._ticker = Ticker(clock, tell)
         for interval, do in (
@@ -222,14 +222,14 @@
     def _prepare_link(self, link: SendingLink) -> None:
         link.on_status = self._take_status_of
         link.on_config = lambda text: self._config.take_text(text, link.member.node)
-        link.on_report = self.reports.take
-        link.greet = self.reports.greet
+        link.on_report = self.reports.handle
+        link.send_snapshot = self.reports.send_snapshot
 
     def _take_status_of(self, link: SendingLink) -> None:
         """Follow what another node says of itself and of its server."""
         self._config.peer_has(link)
         target = link.target
-        self.reports.heard(target.node, target.service, target.instance)
+        self.reports.resolve_server(target.node, target.service, target.instance)
         if not self._is_caught_up:
             self._is_caught_up = True
             self._tell_status()
@@ -239,16 +239,16 @@
         self._links.close_all()
         self._taking.close_all()
 
-    def _begin_anew(self, suspended: Milliseconds) -> None:
+    def _resume(self, suspended: Milliseconds) -> None:
         """Begin anew with others after the host was suspended.
 
         What waits to be read was sent before or meanwhile and nobody can tell when:
         statuses, configurations and calls on links are dropped with them, and callers
         are taken to have waited since it began. It runs before any task does.
         """
-        self.tell.event("woke", suspended=round(suspended))
+        self.tell.event("resumed", suspended=round(suspended))
         self.close_links()
-        self._callers.note_suspension(suspended)
+        self._callers.record_suspension(suspended)
         self._is_caught_up = False
         self._alone_from = self._clock.now() + _CATCH_UP_MS
         self._tell_status()
@@ -336,7 +336,7 @@
         cfg = self.cfg
         names = cfg.names
         self.tell.event("started", service=cfg.service, data_centre=cfg.data_centre)
-        watch = SuspensionWatch(self._clock.catch_up, self._begin_anew)
+        watch = SuspensionWatch(self._clock.catch_up, self._resume)
         trio.lowlevel.add_instrument(watch)
         async with trio.open_nursery() as nursery:
             self._config.nursery = nursery
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -271,10 +271,12 @@
                 sent = len(call.head) + len(call.body)
                 received = len(outcome.headers) + len(outcome.body)
                 self._placing.note_bytes(route, sent + received)
-                self._placing.reports.answered(self._fingerprint)
+                self._placing.reports.record_answer(self._fingerprint)
             elif isinstance(outcome, MayHaveRun) and outcome.reason == LINK_LOST:
                 node = peer.target.node
-                self._placing.reports.link_lost(node, call.instance, self._fingerprint)
+                self._placing.reports.record_lost_link(
+                    node, call.instance, self._fingerprint
+                )
             self._tried.append(call.instance)
             if not isinstance(outcome, NotRun) or outcome.offered:
                 self._offered_to.add(call.instance)
@@ -310,13 +312,13 @@
         from servers too, so that a caller who heeds it crashes none.
         """
         reports = self._placing.reports
-        reports.refused(self._fingerprint, self._req.request_id)
+        reports.record_refusal(self._fingerprint, self._req.request_id)
         self._is_quarantined = True
         if self._may_have_run:
             self._give_up()
             return
         self._last = NotRun(QUARANTINED)
-        wait = reports.quarantine.wait_of(self._fingerprint)
+        wait = reports.quarantine.retry_after(self._fingerprint)
         self._finish(Final(503, retry_after=max(wait, RETRY_AFTER_MS)))
 
     def _take_denial(self, outcome: NotRun) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -107,7 +107,7 @@
         Told that the node's status changed.
     on_report : callable
         Told what the node reports of requests that crash servers.
-    greet : callable
+    send_snapshot : callable
         Sends the node what it has to know first.
     """
 
@@ -129,7 +129,7 @@
         self.on_config: Callable[[ConfigText], None] = _ignore
         self.on_status: Callable[[SendingLink], None] = _ignore
         self.on_report: Callable[[Report, str], None] = _ignore_report
-        self.greet: Callable[[Post], None] = _ignore
+        self.send_snapshot: Callable[[Post], None] = _ignore
         self.scope = trio.CancelScope()
 
     @property
@@ -269,7 +269,7 @@
         if hello.node != self.member.node or hello.service != self.member.service:
             raise BrokenStream(f"{hello.node} answers at {self.member.address}")
         self._link = link
-        self.greet(link.post)
+        self.send_snapshot(link.post)
         self._tell.event("link-up", to=hello.node, incarnation=hello.incarnation)
 
     def _take_reply(self, reply: Reply) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_crashes.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_crashes.py
@@ -56,43 +56,43 @@
         """Whether a request ended without an answer and no other had one since."""
         return self._watch.has_unanswered
 
-    def follow(self, report: BackendReport, is_same_start: bool) -> None:
+    def record_report(self, report: BackendReport, is_same_start: bool) -> None:
         """Take in which incarnation is believed in now, and its state."""
         if not is_same_start:
             self._crashed("another incarnation")
-            self._begin(report)
+            self._start(report)
         self._is_ready = report.state is BackendState.READY
 
-    def refute(self, report: BackendReport) -> None:
+    def revert(self, report: BackendReport) -> None:
         """Go by an earlier one again: the other may never have been here."""
-        self._begin(report)
+        self._start(report)
         self._is_ready = report.state is BackendState.READY
 
-    def _begin(self, report: BackendReport) -> None:
+    def _start(self, report: BackendReport) -> None:
         start = f"{report.instance} {report.born or ''}".rstrip()
-        self._watch.begin(start, self._clock.now())
+        self._watch.start_incarnation(start, self._clock.now())
 
-    def take_answer(self, outcome: Outcome) -> None:
+    def record_answer(self, outcome: Outcome) -> None:
         """Take in what the server said; another incarnation speaks for itself."""
         if isinstance(outcome, NotRun) and outcome.reason == OTHER_INCARNATION:
             return
         if isinstance(outcome, NotRun | Answered):
-            self._watch.note_answer(self._clock.now())
+            self._watch.record_answer(self._clock.now())
 
-    def take_unanswered(self, job: Job) -> None:
+    def record_unanswered(self, job: Job) -> None:
         """Take in that a call got no answer."""
         one = job.call.fingerprint
-        crashed = self._watch.note_unanswered(one, job.started, self._clock.now())
+        crashed = self._watch.record_unanswered(one, job.started, self._clock.now())
         if crashed:
-            self._tell_crash(crashed, "found out later", frozenset({one}))
+            self._report_crash(crashed, "found out later", frozenset({one}))
 
-    def take_unreachable(self, cause: BrokenStream) -> None:
+    def record_unreachable(self, cause: BrokenStream) -> None:
         """Take in that the server took no connection."""
         is_gone = isinstance(cause, RefusedStream | SilentStream)
         if is_gone and self.is_doubted:
             self._crashed("no connection")
 
-    def take_silence(self) -> None:
+    def record_heartbeat_timeout(self) -> None:
         """Take in that neither heartbeats nor answers have come for too long."""
         self._crashed("no heartbeat")
 
@@ -103,11 +103,11 @@
         """
         if not self._is_ready or self._watch.has_crashed:
             return
-        at_work = self._watch.note_crash(self._at_work())
+        at_work = self._watch.record_crash(self._at_work())
         if at_work:
-            self._tell_crash(self._watch.incarnation, evidence, at_work)
+            self._report_crash(self._watch.incarnation, evidence, at_work)
 
-    def _tell_crash(
+    def _report_crash(
         self, incarnation: str, evidence: str, at_work: frozenset[bytes]
     ) -> None:
         self._tell.event(
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/suspension_watch.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/suspension_watch.py
@@ -19,19 +19,19 @@
     ----------
     catch_up : callable
         Returns the milliseconds of a suspension since the last call; see `Clock`.
-    woke : callable
+    on_resume : callable
         Told them, where there was one.
     """
 
     def __init__(
         self,
         catch_up: Callable[[], Milliseconds],
-        woke: Callable[[Milliseconds], None],
+        on_resume: Callable[[Milliseconds], None],
     ) -> None:
         self._catch_up = catch_up
-        self._woke = woke
+        self._on_resume = on_resume
 
     def after_io_wait(self, timeout: float) -> None:
         """Take in a suspension."""
         if suspended := self._catch_up():
-            self._woke(suspended)
+            self._on_resume(suspended)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
@@ -89,7 +89,7 @@
         Returns the fullness of the services below a route.
     on_report : callable
         Told what another node reports of requests that crash servers.
-    greet : callable
+    send_snapshot : callable
         Sends a node that has just opened a link what it has to know first.
     """
 
@@ -111,7 +111,7 @@
         self.config_text: Callable[[], ConfigText | None] = _no_config
         self.below: Callable[[str], float] = _no_calls
         self.on_report: Callable[[Report, str], None] = _ignore_report
-        self.greet: Callable[[Post], None] = _ignore
+        self.send_snapshot: Callable[[Post], None] = _ignore
 
     def posts(self) -> Iterator[tuple[str, Post]]:
         """Yield the nodes that send calls here, and how to tell them something."""
@@ -169,7 +169,7 @@
                         link.post_hello(self._hello, hello.packed)
                         sender.node = hello.node
                         # Before the status, on which it may begin to send.
-                        self.greet(link.post)
+                        self.send_snapshot(link.post)
                         self._post_status(link, sender, self._status())
                         self.on_hello(hello)
                     case Crash() | Held() | Cleared() as report:
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/quarantine_play.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/quarantine_play.py
@@ -222,7 +222,7 @@
         reports = CrashReports(
             cfg, _SERVICE, self._clock, rng, Teller(str(number), self._clock)
         )
-        reports.posts = lambda: {
+        reports.peers = lambda: {
             str(other.number): self._post(number, other)
             for other in self._nodes
             if other.number != number
@@ -242,7 +242,7 @@
 
             def take() -> None:
                 if receiver.life == life:
-                    receiver.reports.take(cast("Report", message), str(sender))
+                    receiver.reports.handle(cast("Report", message), str(sender))
 
             self._at(delay, take)
 
@@ -322,8 +322,8 @@
                 self._crash(node)
                 return
             del node.at_work[asked]
-            node.reports.answered(asked.fingerprint)
-            asked.entry.reports.answered(asked.fingerprint)
+            node.reports.record_answer(asked.fingerprint)
+            asked.entry.reports.record_answer(asked.fingerprint)
 
         self._at(asked.work, end)
 
@@ -353,7 +353,7 @@
         prints = frozenset(asked.fingerprint for asked in at_work)
         if prints and not node.is_leaving:
             notice = self._rng.uniform(0.5, 10.0)
-            self._at(notice, lambda: reports.server_crashed(instance, prints))
+            self._at(notice, lambda: reports.report_crash(instance, prints))
         for asked in at_work:
             self._at(0.2, _bind(self._unanswered, asked, node))
         self._at(self._history.down, lambda: self._start(node))
@@ -363,7 +363,7 @@
         node.is_leaving = False
         node.instance = f"i-{next(self._numbers)}"
         for other in self._nodes:
-            other.reports.heard(str(node.number), _SERVICE, node.instance)
+            other.reports.resolve_server(str(node.number), _SERVICE, node.instance)
 
     def _crash_any(self) -> None:
         up = [node for node in self._nodes if node.is_up]
@@ -381,7 +381,7 @@
         node.life += 1
         for asked in at_work:
             if asked.entry is not node:
-                asked.entry.reports.link_lost(
+                asked.entry.reports.record_lost_link(
                     str(node.number), node.instance, asked.fingerprint
                 )
                 self._at(0.2, _bind(self._unanswered, asked, node))
@@ -391,7 +391,7 @@
     def _start_anew(self, node: _Node) -> None:
         for other in self._nodes:
             if other is not node:
-                other.reports.greet(self._post(other.number, node))
+                other.reports.send_snapshot(self._post(other.number, node))
         self._start(node)
 
     def _release_any(self) -> None:
--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/crash_watch.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/crash_watch.py
@@ -36,14 +36,14 @@
         self._began_at: Milliseconds = 0.0
         self._unanswered: dict[bytes, Milliseconds] = {}
         self._earlier = ""
-        self._told: set[bytes] = set()
+        self._reported: set[bytes] = set()
 
     @property
     def has_unanswered(self) -> bool:
         """Whether a request ended without an answer since the last answer."""
         return bool(self._unanswered)
 
-    def begin(self, incarnation: str, now: Milliseconds) -> None:
+    def start_incarnation(self, incarnation: str, now: Milliseconds) -> None:
         """Follow another incarnation."""
         self._earlier = self.incarnation if self.has_crashed else ""
         self.incarnation = incarnation
@@ -51,13 +51,13 @@
         self._began_at = now
         self._unanswered.clear()
 
-    def note_answer(self, now: Milliseconds) -> None:
+    def record_answer(self, now: Milliseconds) -> None:
         """Take in that the server answered a request."""
         if self._unanswered:
             before = now - _READ_LATE_MS
             self._unanswered = {f: t for f, t in self._unanswered.items() if t > before}
 
-    def note_unanswered(
+    def record_unanswered(
         self, fingerprint: bytes, started: Milliseconds, now: Milliseconds
     ) -> str:
         """Take in that a request ended without an answer.
@@ -81,16 +81,16 @@
             crashed = self._earlier
         elif not crashed:
             self._remember(fingerprint, now)
-        if not crashed or fingerprint in self._told:
+        if not crashed or fingerprint in self._reported:
             return ""
-        self._told.add(fingerprint)
+        self._reported.add(fingerprint)
         return crashed
 
     def _remember(self, fingerprint: bytes, now: Milliseconds) -> None:
         if len(self._unanswered) < _MOST_UNANSWERED:
             self._unanswered[fingerprint] = now
 
-    def note_crash(self, at_work: frozenset[bytes] = frozenset()) -> frozenset[bytes]:
+    def record_crash(self, at_work: frozenset[bytes] = frozenset()) -> frozenset[bytes]:
         """Take in that the server has crashed.
 
         Parameters
@@ -106,6 +106,6 @@
         if self.has_crashed:
             return frozenset()
         self.has_crashed = True
-        self._told = set(self._unanswered) | at_work
+        self._reported = set(self._unanswered) | at_work
         self._unanswered.clear()
-        return frozenset(self._told)
+        return frozenset(self._reported)
--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/lost_servers.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/lost_servers.py
@@ -33,7 +33,7 @@
     def __init__(self) -> None:
         self._lost: dict[str, _Lost] = {}
 
-    def note_lost(
+    def record_lost(
         self, node: str, instance: str, fingerprint: bytes, now: Milliseconds
     ) -> None:
         """Take in that a request was lost with the link to a node.
@@ -56,7 +56,7 @@
         if len(lost.fingerprints) < _MOST_OF_ONE:
             lost.fingerprints.add(fingerprint)
 
-    def heard(
+    def resolve(
         self, node: str, instance: str
     ) -> tuple[str, Milliseconds, frozenset[bytes]] | None:
         """Take in which server stands beside a node.
--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from fuchsiagap.core.quarantine.answered import AnsweredLately
+from fuchsiagap.core.quarantine.recent_answers import RecentAnswers
 from fuchsiagap.core.quarantine.verdict import ONLY_CAUSE, Case, is_convincing
 
 if TYPE_CHECKING:
@@ -18,10 +18,10 @@
     # When a crash was, the service of the server, and what it ran.
     _Known: TypeAlias = tuple[Milliseconds, str, set[bytes]]
 
-# Crashes from which on a request is not tried again while it is asked for: each trial
+# Crashes from which on a request is not tried again while it is asked for: each probe
 # crashes one more server.
-_NO_MORE_TRIALS = 6
-# By what the time until the next trial grows with each crash.
+_NO_MORE_PROBES = 6
+# By what the time until the next probe grows with each crash.
 _BACKOFF = 5.0
 # Milliseconds by which the ages of one event differ that nodes tell, at most.
 _SAME_MS = 1_000.0
@@ -39,7 +39,7 @@
         Milliseconds for which crashes without a request speak for it.
     answered_ms : float
         Milliseconds for which an answer shows that a request crashes nothing.
-    trial_ms : float
+    probe_ms : float
         Milliseconds until a request that crashed three servers is tried again.
     idle_ms : float
         Milliseconds without being asked for after which a request is no longer held.
@@ -52,7 +52,7 @@
     evidence_ms: Milliseconds = 600_000.0
     other_ms: Milliseconds = 60_000.0
     answered_ms: Milliseconds = 60_000.0
-    trial_ms: Milliseconds = 60_000.0
+    probe_ms: Milliseconds = 60_000.0
     idle_ms: Milliseconds = 3_600_000.0
     most_suspects: int = 4_096
     most_held: int = 1_024
@@ -95,7 +95,7 @@
     crashes : int
         How many, as far as is known.
     age : float
-        Milliseconds since the last of them, or since its last trial.
+        Milliseconds since the last of them, or since its last probe.
     """
 
     fingerprint: bytes
@@ -141,7 +141,7 @@
     def __init__(self, cfg: QuarantineSettings, clock: Clock) -> None:
         self._cfg = cfg
         self._clock = clock
-        self._answered = AnsweredLately(cfg.answered_ms, cfg.most_answered)
+        self._answered = RecentAnswers(cfg.answered_ms, cfg.most_answered)
         self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
         self._crashes: OrderedDict[str, _Known] = OrderedDict()
         self._held: OrderedDict[bytes, _Hold] = OrderedDict()
@@ -156,7 +156,7 @@
         """Requests with evidence against them that are not held."""
         return len(self._suspects)
 
-    def note_answered(self, fingerprint: bytes) -> bool:
+    def record_answer(self, fingerprint: bytes) -> bool:
         """Take in that a server answered a request.
 
         Returns
@@ -171,7 +171,7 @@
         """Whether a request was answered of late."""
         return fingerprint in self._answered
 
-    def take_cleared(self, fingerprint: bytes) -> bool:
+    def apply_clearance(self, fingerprint: bytes) -> bool:
         """Take in that another node saw an answer; return whether that is news."""
         is_news = fingerprint not in self._answered
         self._answered.add(fingerprint, self._clock.now())
@@ -183,7 +183,7 @@
         was_held = self._held.pop(fingerprint, None) is not None
         return was_suspect or was_held
 
-    def note_crash(self, crash: Crash) -> frozenset[bytes]:
+    def record_crash(self, crash: Crash) -> frozenset[bytes]:
         """Take in the crash of a server.
 
         Returns
@@ -210,7 +210,7 @@
         """Return which of some requests were answered of late."""
         return [f for f in fingerprints if f in self._answered]
 
-    def judge(self, crash: Crash) -> list[Held]:
+    def evaluate(self, crash: Crash) -> list[Held]:
         """Hold those of a crash's requests that cause crashes; return the new ones."""
         held = []
         for fingerprint in sorted(crash.fingerprints):
@@ -223,7 +223,7 @@
                     continue
             n_crashes = len(suspect.crashes)
             found = Held(fingerprint, crash.service, n_crashes, crash.age)
-            if self.take_held(found):
+            if self.apply_hold(found):
                 held.append(found)
         return held
 
@@ -253,7 +253,7 @@
         """Whether one of the requests at a crash is held."""
         return any(fingerprint in self._held for fingerprint in present)
 
-    def take_held(self, held: Held) -> bool:
+    def apply_hold(self, held: Held) -> bool:
         """Hold a request; return whether that, or its last crash, is news."""
         if held.fingerprint in self._answered:
             return False
@@ -283,22 +283,22 @@
         hold.asked_at = now
         return False
 
-    def begin_trial(self, fingerprint: bytes) -> Held | None:
+    def start_probe(self, fingerprint: bytes) -> Held | None:
         """Return what all nodes are to be told if a held request may be tried now."""
         hold = self._held.get(fingerprint)
-        if hold is None or self.wait_of(fingerprint) > 0.0:
+        if hold is None or self.retry_after(fingerprint) > 0.0:
             return None
         hold.since = self._clock.now()
         return Held(fingerprint, hold.service, hold.crashes, 0.0)
 
-    def wait_of(self, fingerprint: bytes) -> Milliseconds:
+    def retry_after(self, fingerprint: bytes) -> Milliseconds:
         """Return the milliseconds until a held request may be tried; 0 if it may."""
         hold = self._held.get(fingerprint)
         if hold is None:
             return 0.0
-        if hold.crashes >= _NO_MORE_TRIALS:
+        if hold.crashes >= _NO_MORE_PROBES:
             return self._cfg.idle_ms
-        wait = self._cfg.trial_ms * _BACKOFF ** max(hold.crashes - ONLY_CAUSE, 0)
+        wait = self._cfg.probe_ms * _BACKOFF ** max(hold.crashes - ONLY_CAUSE, 0)
         return max(hold.since + wait - self._clock.now(), 0.0)
 
     def held(self) -> Iterator[Held]:
--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/answered.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/recent_answers.py
@@ -8,7 +8,7 @@
     from fuchsiagap.core.clock import Milliseconds
 
 
-class AnsweredLately:
+class RecentAnswers:
     """Remembers fingerprints for a time, in bounded memory.
 
     Two generations take turns, so that remembering one more is a single look-up on the
@@ -28,20 +28,20 @@
         self._most = most
         self._young: set[bytes] = set()
         self._old: set[bytes] = set()
-        self._turned_at = float("-inf")
+        self._rotated_at = float("-inf")
 
     def __contains__(self, fingerprint: bytes) -> bool:
         return fingerprint in self._young or fingerprint in self._old
 
     def add(self, fingerprint: bytes, now: Milliseconds) -> None:
         """Remember a fingerprint."""
-        if len(self._young) >= self._most or now - self._turned_at > self._memory_ms:
-            self.turn(now)
+        if len(self._young) >= self._most or now - self._rotated_at > self._memory_ms:
+            self.rotate(now)
         self._young.add(fingerprint)
 
-    def turn(self, now: Milliseconds) -> None:
+    def rotate(self, now: Milliseconds) -> None:
         """Forget what was not added since the last turn."""
-        if now - self._turned_at > 2.0 * self._memory_ms:
+        if now - self._rotated_at > 2.0 * self._memory_ms:
             self._young = set()
         self._old, self._young = self._young, set()
-        self._turned_at = now
+        self._rotated_at = now
