Compare suspects once a crash, not once a suspect

Each suspect with three crashes or more went through all suspects and all crashes with what they ran: worked out, some 40 million steps for one crash amid a storm of 200 suspects. What all are compared with is now put together once a crash.

--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -111,6 +111,14 @@
     crashes: dict[str, Milliseconds] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class _Background:
+    """Suspects by their number of crashes, and crashes that no held one explains."""
+
+    counts: Counter[int]
+    unexplained: list[set[bytes]]
+
+
 @dataclass(slots=True)
 class _Hold:
     """A request that is held, in local time."""
@@ -213,18 +221,20 @@
     def evaluate(self, crash: Crash) -> list[Held]:
         """Hold those of a crash's requests that cause crashes; return the new ones."""
         held = []
+        background = self._background()
         for fingerprint in sorted(crash.fingerprints):
             suspect = self._suspects.get(fingerprint)
             if suspect is None:
                 continue
             if fingerprint not in self._held:
                 self._forget_old(suspect)
-                if not is_convincing(self._case(fingerprint, suspect)):
+                if not self._is_convicted(fingerprint, suspect, background):
                     continue
             n_crashes = len(suspect.crashes)
             found = Held(fingerprint, crash.service, n_crashes, crash.age)
             if self.apply_hold(found):
                 held.append(found)
+                background = self._background()
         return held
 
     def _forget_old(self, suspect: _Suspect) -> None:
@@ -232,26 +242,32 @@
         for incarnation in [i for i, at in suspect.crashes.items() if at < since]:
             del suspect.crashes[incarnation]
 
-    def _case(self, fingerprint: bytes, suspect: _Suspect) -> Case:
-        n_crashes = len(suspect.crashes)
-        if n_crashes < ONLY_CAUSE:
-            return Case(n_crashes, 0, 0)
-        least = max(n_crashes - 1, ONLY_CAUSE)
-        rivals = sum(
-            len(other.crashes) >= least
-            for name, other in self._suspects.items()
-            if name != fingerprint and name not in self._held
-        )
+    def _background(self) -> _Background:
+        """Return what all suspects are compared with."""
         since = self._clock.now() - self._cfg.other_ms
-        others = sum(
-            at >= since and fingerprint not in present and not self._explains(present)
-            for at, _, present in self._crashes.values()
+        counts = Counter(
+            len(suspect.crashes)
+            for name, suspect in self._suspects.items()
+            if name not in self._held
         )
-        return Case(n_crashes, rivals, others)
+        unexplained = [
+            present
+            for at, _, present in self._crashes.values()
+            if at >= since and present.isdisjoint(self._held)
+        ]
+        return _Background(counts, unexplained)
 
-    def _explains(self, present: set[bytes]) -> bool:
-        """Whether one of the requests at a crash is held."""
-        return any(fingerprint in self._held for fingerprint in present)
+    def _is_convicted(
+        self, fingerprint: bytes, suspect: _Suspect, background: _Background
+    ) -> bool:
+        n_crashes = len(suspect.crashes)
+        if n_crashes < ONLY_CAUSE:
+            return False
+        least = max(n_crashes - 1, ONLY_CAUSE)
+        counts = background.counts
+        rivals = sum(many for crashes, many in counts.items() if crashes >= least) - 1
+        others = sum(fingerprint not in at for at in background.unexplained)
+        return is_convincing(Case(n_crashes, rivals, others))
 
     def apply_hold(self, held: Held) -> bool:
         """Hold a request; return whether that, or its last crash, is news."""
