Ask for API keys and keep quotas of workspaces over all nodes, thin

Cause: no module knew of workspaces, keys or quotas.

Change: a request on a route that is not public needs a key of the configuration in force, else 401 before any server is asked; nodes keep digests of keys and pass digests on with configurations; the workspace's name goes to the server whatever the caller sent. Knowledge has an age that counts from the question to the store, is passed on as question and answer, and past the bound of revocations keys are refused with 503. Quotas: one owner a workspace by rendezvous hashing keeps the only token bucket, others ask it for tokens and let requests wait for them.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -18,9 +18,9 @@
     from collections.abc import Awaitable, Callable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
-    from fuchsiagap_node.core.mesh.entry import Entry
+    from fuchsiagap_node.core.mesh.entry import Cancellable, Entry
     from fuchsiagap_node.core.mesh.http_request import Request
-    from fuchsiagap_node.core.mesh.placement import OnFinal, Placement
+    from fuchsiagap_node.core.mesh.placement import OnFinal
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.stream import Stream
     from fuchsiagap_node.core.mesh.telling import Teller
@@ -36,8 +36,10 @@
 _UNREAD_MS = 250.0
 _REASONS = {
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
@@ -151,7 +153,9 @@
             return req
         return req._replace(wait=max(req.wait - self._suspended, 0.0))
 
-    def begin(self, req: Request, done: OnFinal, turn: CallerTurn) -> Placement | None:
+    def begin(
+        self, req: Request, done: OnFinal, turn: CallerTurn
+    ) -> Cancellable | None:
         """Begin to answer a request; a fault in it is answered, too."""
         req = self._age_unread(req)
         if req.wait is not None and req.wait <= 0.0:
@@ -178,7 +182,7 @@
     def __init__(self, req: Request | None = None) -> None:
         self.is_head = req is not None and req.method == b"HEAD"
         self.closes = req is None or not req.keep_alive
-        self.placement: Placement | None = None
+        self.placement: Cancellable | None = None
         self.final: Final | None = None
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -8,6 +8,7 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap.core.freshness.knowledge_age import KnowledgeAge
 from fuchsiagap.core.watching.turn import Hearing, Neighbour, Turn, turn_of
 from fuchsiagap_node.core.mesh.messages import ConfigText, ConfigWanted
 from fuchsiagap_node.core.mesh.store import ConfigNews, HistoryGone, StoreFailed
@@ -46,6 +47,10 @@
 # Milliseconds for which a revision is good to watch from; the store keeps changes for
 # 20 s, and forgets them sooner at times.
 _GOOD_BASE_MS = 10_000.0
+# Shares of the bound of revocations: what a watch waits, and the age of a node's
+# knowledge, drawn at random, from which it asks the store by itself.
+_WATCH_SHARE = 0.15
+_ASK_AT_SHARES = (0.45, 0.6)
 # Milliseconds between two looks at whose turn it is.
 LOOK_MS = 250.0
 # Milliseconds within which a node that hears of a newer version on a link asks for it,
@@ -88,9 +93,13 @@
         Spreads whom of the others is asked, and when.
     first_start : bool
         Whether the whole system starts for the first time.
+    revocation : float or None
+        Bound of revocations; None where nodes out of touch go on with what they know.
 
     Attributes
     ----------
+    knowledge : KnowledgeAge
+        Since when a change can have escaped this node.
     hearing : Hearing
         How this node hears of changes.
     changed : callable
@@ -109,8 +118,10 @@
         links: Callable[[], Iterable[SendingLink]],
         rng: random.Random,
         first_start: bool = False,
+        revocation: Milliseconds | None = None,
     ) -> None:
         self._store = store
+        self._bound = revocation
         self._clock = clock
         self._tell = teller
         self._adopt = adopt
@@ -126,11 +137,15 @@
         self._base = 0
         self._base_at = clock.now()
         self._is_first_read = True
+        self._is_recent = False
+        # Those that have lost touch together do not ask together.
+        self._ask_at = rng.uniform(*_ASK_AT_SHARES)
         self._due_since: Milliseconds | None = None
         self._may_ask_now = trio.Event()
         self._asking_others = False
         # Set at the next adoption.
         self._adopted = trio.Event()
+        self.knowledge = KnowledgeAge()
         self.hearing = Hearing.RELIES
         self.changed: Callable[[], None] = _ignore
         self.nursery: trio.Nursery | None = None
@@ -155,6 +170,15 @@
         """Milliseconds since the store last answered, or since the start."""
         return self._clock.now() - self._heard_at
 
+    @property
+    def knowledge_age(self) -> Milliseconds:
+        """Milliseconds for which a change can have escaped this node."""
+        return self._clock.now() - self.knowledge.as_of
+
+    def confirm(self, revision: int, as_of: Milliseconds) -> None:
+        """Take in that a revision was the newest at a moment."""
+        self.knowledge.confirm(revision, as_of, self.revision)
+
     def text(self) -> ConfigText | None:
         """Return the configuration in force for another node."""
         if self._stored is None:
@@ -178,6 +202,7 @@
         self._adopted_at = self._clock.now()
         self._note_base(stored.revision)
         self._adopt(stored)
+        self.knowledge.adopt(stored.revision)
         adopted, self._adopted = self._adopted, trio.Event()
         adopted.set()
         self._tell.event(
@@ -264,6 +289,8 @@
         if not turn.is_due:
             self._due_since = None
             self._set_hearing(Hearing.RELIES)
+            if self._is_too_old():
+                self._may_ask_now.set()
             return
         if self._due_since is None:
             self._due_since = now
@@ -275,6 +302,12 @@
             return
         self._may_ask_now.set()
 
+    def _is_too_old(self) -> bool:
+        """Whether the others have not told for long how old their knowledge is."""
+        if self._bound is None or self._clock.now() < self._settled_at:
+            return False
+        return self.knowledge_age > self._bound * self._ask_at
+
     async def _wait_for_turn(self) -> None:
         self._may_ask_now = trio.Event()
         self.look()
@@ -296,6 +329,7 @@
         while True:
             if self._base:
                 await self._wait_for_turn()
+            asked_at = self._clock.now()
             result = await self._ask_store()
             match result:
                 case ConfigNews(revision, stored):
@@ -303,6 +337,9 @@
                     self._hear(revision)
                     if stored is not None:
                         self.take(stored, "store")
+                    if self._is_recent:
+                        newest = 0 if stored is None else stored.revision
+                        self.confirm(newest, asked_at)
                 case HistoryGone():
                     self._tell.event("history-gone", what="configuration")
                     self._base = 0
@@ -339,19 +376,31 @@
 
     async def _ask_store(self) -> ConfigResult:
         """Read the configuration, or wait for the next one."""
-        if self._is_first_read and not self._base:
+        self._is_recent = True
+        if self._is_first_read and not self._base and self._bound is None:
             # One that may be seconds old is a tenth of the price. A newer one comes on
             # the links, or with the first watch from this one on.
+            self._is_recent = False
             return await self._read(_Cause.START, recent=False)
+        if self._is_first_read and not self._base:
+            return await self._read(_Cause.START, recent=True)
         if not self._base:
             return await self._read(_Cause.HISTORY_GONE, recent=True)
         if self._clock.now() - self._base_at > _GOOD_BASE_MS:
             return await self._read(_Cause.TAKE_OVER, recent=True)
-        first = self._turn().is_first(_WATCHERS)
-        watch = _FIRST_WATCH_MS if first else _WATCH_MS
+        watch = self._watch_ms()
         self._tell.store_call("config-watch", _Cause.WATCH.value)
         return await self._store.watch_config(self._base, watch)
 
+    def _watch_ms(self) -> Milliseconds:
+        """Return how long a watch waits.
+
+        Where revocations are bound, knowledge counts from the beginning of a watch.
+        """
+        if self._bound is not None:
+            return self._bound * _WATCH_SHARE
+        return _FIRST_WATCH_MS if self._turn().is_first(_WATCHERS) else _WATCH_MS
+
     async def _read(self, cause: _Cause, recent: bool) -> ConfigResult:
         kind = "config-read" if recent else "config-read-older"
         self._tell.store_call(kind, cause.value)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -2,24 +2,37 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
-from fuchsiagap_node.core.mesh.final import RETRY_AFTER_MS, Final
+from fuchsiagap_node.core.mesh.final import PROMISES, RETRY_AFTER_MS, Final
+from fuchsiagap_node.core.mesh.over_quota import quota_refusal
 from fuchsiagap_node.core.mesh.placement import Placement
+from fuchsiagap_node.core.mesh.quotas import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from fuchsiagap.core.clock import Milliseconds
     from fuchsiagap.core.pressure.evenly import CallerTurn
     from fuchsiagap.core.routes.model import Route
     from fuchsiagap.core.routes.table import RouteTable, ShareRotation
+    from fuchsiagap.core.workspaces.model import Workspace
     from fuchsiagap_node.core.mesh.admission import Admission
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.job import Job
     from fuchsiagap_node.core.mesh.placement import OnFinal
     from fuchsiagap_node.core.mesh.placing import Placing
     from fuchsiagap_node.core.mesh.pressures import Pressures
+    from fuchsiagap_node.core.mesh.quotas import QuotaAnswer, Quotas, Waiter
     from fuchsiagap_node.core.mesh.telling import Teller
+    from fuchsiagap_node.core.mesh.workspace_check import WorkspaceCheck
+
+
+class Cancellable(Protocol):
+    """A request in progress."""
+
+    def cancel(self) -> None:
+        """Give it up: its caller has left."""
 
 
 class Entry:
@@ -37,6 +50,10 @@
         Choice among the services of a route.
     teller : Teller
         Logs and counters.
+    check : WorkspaceCheck
+        Finds the workspace of a request.
+    quotas : Quotas
+        Requests that workspaces may make.
 
     Attributes
     ----------
@@ -55,7 +72,11 @@
         admission: Admission,
         rotation: ShareRotation,
         teller: Teller,
+        check: WorkspaceCheck,
+        quotas: Quotas,
     ) -> None:
+        self._check = check
+        self._quotas = quotas
         self._placing = placing
         self._pressures = pressures
         self._admission = admission
@@ -65,7 +86,9 @@
         self.stopping = False
         self.parent_of: Callable[[str], Job | None] = _no_parent
 
-    def begin(self, req: Request, done: OnFinal, turn: CallerTurn) -> Placement | None:
+    def begin(
+        self, req: Request, done: OnFinal, turn: CallerTurn
+    ) -> Cancellable | None:
         """Refuse a request or begin to place it.
 
         Parameters
@@ -80,7 +103,7 @@
 
         Returns
         -------
-        Placement or None
+        Cancellable or None
             What is to be cancelled if the caller leaves; None if the answer is final
             at once.
         """
@@ -94,19 +117,85 @@
             self._tell.event("no-route", request=req.request_id, host=req.host)
             done(Final(404))
             return None
-        service = self._rotation.pick(route)
         parent = self.parent_of(req.request_id)
-        if parent is not None:
-            self._pressures.note_call(parent.call.route, service, route.name)
-        else:
-            refusal = self._refusal(req, route, service, turn)
-            if refusal is not None:
-                done(refusal)
-                return None
+        if parent is not None and (route.public or table.keys is None):
+            return self._place(req, route, parent, done)
+        caller = self._check.identify(req, route, table)
+        if isinstance(caller, Final):
+            done(caller)
+            return None
+        if caller is None:
+            return self._admit(req, route, done, turn)
+        ranked = table.ranked(route, caller.priority)
+        keyed = _KeyedRequest(self, caller, req, ranked, done, turn)
+        return keyed if keyed.start(self._quotas) else None
+
+    def _admit(
+        self,
+        req: Request,
+        route: Route,
+        done: OnFinal,
+        turn: CallerTurn,
+        workspace: Workspace | None = None,
+        waited: Milliseconds = 0.0,
+    ) -> Placement | None:
+        """Refuse a new request for which there is no room, or begin to place it."""
+        service = self._rotation.pick(route)
+        refusal = self._refusal(req, route, service, turn)
+        if refusal is not None:
+            done(refusal)
+            return None
+        placement = Placement(
+            self._placing, req, route, service, None, done, workspace, waited
+        )
+        placement.start()
+        return placement
+
+    def _place(
+        self, req: Request, route: Route, parent: Job, done: OnFinal
+    ) -> Placement:
+        """Begin to place a call of the backend server."""
+        service = self._rotation.pick(route)
+        self._pressures.note_call(parent.call.route, service, route.name)
         placement = Placement(self._placing, req, route, service, parent, done)
         placement.start()
         return placement
 
+    def within_quota(
+        self, keyed: _KeyedRequest, done: OnFinal, waited: Milliseconds
+    ) -> Placement | None:
+        """Go on with a request that has its token."""
+        try:
+            return self._admit(
+                keyed.req, keyed.route, done, keyed.turn, keyed.workspace, waited
+            )
+        except Exception as exc:
+            self._tell.fault("entry", exc)
+            done(Final(502))
+            return None
+
+    def over_quota(self, keyed: _KeyedRequest, answer: QuotaAnswer) -> Final:
+        """Return what the caller gets whose workspace has no token."""
+        route = keyed.route.name
+        cause = answer.verdict.value
+        refusal = quota_refusal(answer)
+        assert refusal is not None
+        self._tell.counts["quota_refused", cause] += 1
+        self._tell.answered(route, str(refusal.status), 0.0)
+        self._tell.event(
+            "quota-refused",
+            request=keyed.req.request_id,
+            route=route,
+            workspace=keyed.workspace.name,
+            cause=cause,
+            retry_after=round(refusal.retry_after),
+        )
+        return refusal
+
+    def now(self) -> Milliseconds:
+        """Return the time."""
+        return self._placing.clock.now()
+
     def _refusal(
         self, req: Request, route: Route, service: str, turn: CallerTurn
     ) -> Final | None:
@@ -130,5 +219,84 @@
         return Final(503, retry_after=retry_after)
 
 
+class _KeyedRequest:
+    """A request of a workspace, from its key to its answer.
+
+    Parameters
+    ----------
+    entry : Entry
+        Goes on with it once it has a token.
+    workspace : Workspace
+        Whose it is.
+    req : Request
+        The request.
+    route : Route
+        Its route, with the priority of the workspace.
+    done : callable
+        Told the final answer, once.
+    turn : CallerTurn
+        What its caller is owed.
+    """
+
+    __slots__ = (
+        "_began",
+        "_done",
+        "_entry",
+        "_placement",
+        "_quotas",
+        "_waiter",
+        "req",
+        "route",
+        "turn",
+        "workspace",
+    )
+
+    def __init__(
+        self,
+        entry: Entry,
+        workspace: Workspace,
+        req: Request,
+        route: Route,
+        done: OnFinal,
+        turn: CallerTurn,
+    ) -> None:
+        self._entry = entry
+        self.workspace = workspace
+        self.req = req
+        self.route = route
+        self.turn = turn
+        self._done = done
+        self._began = entry.now()
+        self._quotas: Quotas | None = None
+        self._waiter: Waiter | None = None
+        self._placement: Placement | None = None
+
+    def start(self, quotas: Quotas) -> bool:
+        """Ask for a token; return whether there is something to cancel."""
+        self._quotas = quotas
+        self._waiter = quotas.ask(self.workspace, self._decided)
+        return self._waiter is not None or self._placement is not None
+
+    def cancel(self) -> None:
+        """Give the request up: its caller has left."""
+        if self._waiter is not None:
+            self._waiter.cancel()
+        if self._placement is not None:
+            self._placement.cancel()
+
+    def _decided(self, answer: QuotaAnswer) -> None:
+        if answer.verdict is not Verdict.WITHIN:
+            self._done(self._entry.over_quota(self, answer))
+            return
+        waited = self._entry.now() - self._began
+        self._placement = self._entry.within_quota(self, self._finish, waited)
+
+    def _finish(self, final: Final) -> None:
+        """Return the token of a request that has not run, and tell the answer."""
+        if final.status in PROMISES and self._quotas is not None:
+            self._quotas.put_back(self.workspace)
+        self._done(final)
+
+
 def _no_parent(_: str) -> None:
     """Return that a request is no call."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -17,6 +17,8 @@
 from fuchsiagap.core.watching.turn import Hearing
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
+    Age,
+    AgeWanted,
     Below,
     Call,
     Cancel,
@@ -29,6 +31,8 @@
     Pong,
     Reply,
     Status,
+    TokensGranted,
+    TokensWanted,
 )
 from fuchsiagap_node.core.mesh.outcome import Answered, MayHaveRun, NotRun
 
@@ -43,6 +47,7 @@
 _CRASH, _HELD = 8, 9
 _ANSWERED, _NOT_RUN, _MAY_HAVE_RUN = range(10, 13)
 _CLEARED = 13
+_AGE_WANTED, _AGE, _TOKENS_WANTED, _TOKENS_GRANTED = range(14, 18)
 
 
 class BadFrame(Exception):
@@ -117,6 +122,14 @@
             return [_HELD, fingerprint, service, crashes, age]
         case Cleared(fingerprints):
             return [_CLEARED, b"".join(fingerprints)]
+        case AgeWanted(question):
+            return [_AGE_WANTED, question]
+        case Age(question, revision, age):
+            return [_AGE, question, revision, age]
+        case TokensWanted(question, workspace, tokens):
+            return [_TOKENS_WANTED, question, workspace, tokens]
+        case TokensGranted(question, workspace, tokens, wait, is_owner):
+            return [_TOKENS_GRANTED, question, workspace, tokens, wait, is_owner]
 
 
 def _reply_fields(reply: Reply) -> list[object]:
@@ -152,7 +165,7 @@
     _check_types(kind, rest)
     if kind in _REPORTS:
         return _report(kind, rest)
-    if kind >= _ANSWERED:
+    if kind in _OUTCOMES:
         call_id, load, offered, fullness, calls, failed, *outcome = rest
         settled = _OUTCOMES[kind](*outcome)  # type: ignore[arg-type]
         if not (
@@ -171,6 +184,10 @@
         return replace(message, hearing=Hearing(message.hearing))
     if isinstance(message, Call):
         _check_call(message)
+    elif isinstance(message, Age):
+        _check_age(message.age)
+    elif isinstance(message, TokensWanted | TokensGranted):
+        _check_tokens(message)
     return message
 
 
@@ -182,6 +199,14 @@
         raise ValueError(f"fingerprint of {len(call.fingerprint)} bytes")
 
 
+def _check_tokens(message: TokensWanted | TokensGranted) -> None:
+    """Raise `ValueError` where a number could be no count or no time."""
+    if not 0 <= message.tokens < _MOST:
+        raise ValueError(f"tokens out of range: {message.tokens}")
+    if isinstance(message, TokensGranted):
+        _check_age(message.wait)
+
+
 def _report(kind: int, rest: list[object]) -> Message:
     """Return a report about requests that crash servers."""
     match kind, rest:
@@ -270,6 +295,10 @@
     _CRASH: (_TEXT, _TEXT, _NUMBER, _BYTES),
     _HELD: (_BYTES, _TEXT, _WHOLE, _NUMBER),
     _CLEARED: (_BYTES,),
+    _AGE_WANTED: (_WHOLE,),
+    _AGE: (_WHOLE, _WHOLE, _NUMBER),
+    _TOKENS_WANTED: (_WHOLE, _TEXT, _WHOLE),
+    _TOKENS_GRANTED: (_WHOLE, _TEXT, _WHOLE, _NUMBER, _TRUTH),
     _ANSWERED: (*_BELOW, _WHOLE, *3 * (_BYTES,)),
     _NOT_RUN: (*_BELOW, _TEXT, _TRUTH),
     _MAY_HAVE_RUN: (*_BELOW, _TEXT),
@@ -285,6 +314,10 @@
     _PONG: Pong,
     _WANTED: ConfigWanted,
     _CONFIG: ConfigText,
+    _AGE_WANTED: AgeWanted,
+    _AGE: Age,
+    _TOKENS_WANTED: TokensWanted,
+    _TOKENS_GRANTED: TokensGranted,
 }
 _REPORTS = frozenset({_CRASH, _HELD, _CLEARED})
 _OUTCOMES = {_ANSWERED: Answered, _NOT_RUN: NotRun, _MAY_HAVE_RUN: MayHaveRun}
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_names.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_names.py
@@ -43,6 +43,10 @@
         On a health answer or a misdirected one: incarnation that answered.
     signature : bytes
         On an answer: the backend server made it.
+    key : bytes
+        API key of a caller; goes no further than the first node.
+    workspace : bytes
+        Workspace that holds the caller's key; set by the node.
     identity : tuple of bytes
         Headers by which callers say who they are; repeats of a request share them.
     """
@@ -55,4 +59,6 @@
     load: bytes = b"Load"
     instance: bytes = b"Incarnation"
     signature: bytes = b"Signature"
+    key: bytes = b"Api-Key"
+    workspace: bytes = b"Workspace"
     identity: tuple[bytes, ...] = (b"Authorization", b"X-Api-Key", b"From")
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from fuchsiagap.core.workspaces.keys import key_digest
 from fuchsiagap_node.core.mesh.http_names import HOP_HEADERS
 
 if TYPE_CHECKING:
@@ -34,6 +35,8 @@
         Whether the connection may be used again.
     identity : tuple of bytes, default=()
         Header lines that name the caller.
+    key : bytes, default=b""
+        Digest of the caller's API key; empty if there is none, or more than one.
     """
 
     method: bytes
@@ -45,6 +48,7 @@
     wait: float | None
     keep_alive: bool
     identity: tuple[bytes, ...] = ()
+    key: bytes = b""
 
 
 class BadRequest(Exception):
@@ -77,8 +81,16 @@
 
     def __init__(self, names: HeaderNames, limits: CallerLimits) -> None:
         self._own = frozenset(
-            name.lower() for name in (names.deadline, names.target, names.caller)
+            name.lower()
+            for name in (
+                names.deadline,
+                names.target,
+                names.caller,
+                names.key,
+                names.workspace,
+            )
         )
+        self._key_name = names.key.lower()
         self._request_id = names.request_id.lower()
         self._deadline = names.deadline.lower()
         self._identifying = frozenset(name.lower() for name in names.identity)
@@ -94,6 +106,7 @@
         self._target = b""
         self._lines: list[bytes] = []
         self._identity: list[bytes] = []
+        self._keys: list[bytes] = []
         self._dropped: set[bytes] = set()
         self._host = ""
         self._id = ""
@@ -143,6 +156,8 @@
         elif low in self._own:
             if low == self._deadline:
                 self._wait = _milliseconds(value)
+            elif low == self._key_name:
+                self._keys.append(key_digest(value))
             return
         elif low in HOP_HEADERS:
             self._take_hop(low, value)
@@ -193,7 +208,8 @@
                 self._id,
                 self._wait,
                 self._parser.should_keep_alive(),
-                tuple(self._identity),
+                (*self._identity, *self._keys),
+                self._keys[0] if len(self._keys) == 1 else b"",
             )
         )
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/links.py
@@ -13,7 +13,7 @@
 
     import trio
 
-    from fuchsiagap.core.clock import Clock
+    from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.messages import Hello
     from fuchsiagap_node.core.mesh.peers import Peers
     from fuchsiagap_node.core.mesh.telling import Teller
@@ -38,6 +38,8 @@
 # Milliseconds out of reach after which a node no longer counts among these, and the
 # next one is linked too.
 _DOWN_MS = 3_000.0
+# Milliseconds for which a link is kept that one node was asked for by name.
+_ASKED_FOR_MS = 60_000.0
 
 
 class Links:
@@ -79,6 +81,9 @@
         # Members of this node's data centre by name.
         self._near: list[Member] = []
         self._n_known: Counter[str] = Counter()
+        self._asked_for: dict[str, Milliseconds] = {}
+        # Counts the changes of the nodes that are known.
+        self.n_changes = 0
         self.nursery: trio.Nursery | None = None
         self.on_link: Callable[[SendingLink], None] = _ignore
         peers.on_first_wanted = self.choose
@@ -90,6 +95,27 @@
         """Return how many nodes are known of a service, linked or not."""
         return self._n_known[service]
 
+    @property
+    def n_near(self) -> int:
+        """Number of other nodes that are known of this node's data centre."""
+        return len(self._near)
+
+    def known_nodes(self) -> Iterable[str]:
+        """Return the names of all other nodes that are known."""
+        return self._known.keys()
+
+    def known_data_centres(self) -> set[str]:
+        """Return the data centres of the other nodes."""
+        return {member.data_centre for member in self._known.values()}
+
+    def link_to(self, node: str) -> SendingLink | None:
+        """Return a link to one node, which is kept as long as it is asked for."""
+        member = self._known.get(node)
+        if member is None or self.nursery is None:
+            return None
+        self._asked_for[node] = self._clock.now()
+        return self._link(member, member.data_centre == self._own.data_centre)
+
     def take_hello(self, hello: Hello) -> None:
         """Learn of a node that has opened a link to this one."""
         member = Member(
@@ -149,6 +175,7 @@
     def _rank(self) -> None:
         """Order the nodes of each service; the order differs from node to node."""
         self._ranked = {}
+        self.n_changes += 1
         own = self._own
 
         def rank(member: Member) -> int:
@@ -170,6 +197,10 @@
             if some and not self._peers.is_wanted(service, now):
                 continue
             wanted |= self._open(members, near, LOCAL_LINKS if near else REMOTE_LINKS)
+        for node, at in list(self._asked_for.items()):
+            if now - at > _ASKED_FOR_MS or node not in self._known:
+                del self._asked_for[node]
+        wanted |= self._asked_for.keys()
         for node, link in list(self._links.items()):
             if node not in wanted and link.is_unused():
                 self._drop_link(node)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -216,6 +216,82 @@
     fingerprints: tuple[bytes, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AgeWanted:
+    """Asks how old the other node's knowledge of the configuration is.
+
+    Parameters
+    ----------
+    question : int
+        Number that the answer repeats.
+    """
+
+    question: int
+
+
+@dataclass(frozen=True, slots=True)
+class Age:
+    """How old a node's knowledge of the configuration is.
+
+    Parameters
+    ----------
+    question : int
+        Number of the question.
+    revision : int
+        Revision that was the newest.
+    age : float
+        Milliseconds since it was, at the moment of the answer.
+    """
+
+    question: int
+    revision: int
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class TokensWanted:
+    """Asks the owner of a workspace's quota for tokens.
+
+    Parameters
+    ----------
+    question : int
+        Number that the answer repeats.
+    workspace : str
+        Name of the workspace.
+    tokens : int
+        How many.
+    """
+
+    question: int
+    workspace: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class TokensGranted:
+    """What the owner of a quota grants.
+
+    Parameters
+    ----------
+    question : int
+        Number of the question.
+    workspace : str
+        Name of the workspace.
+    tokens : int
+        How many.
+    wait : float
+        Milliseconds after which more may be found; 0 if all are granted.
+    is_owner : bool
+        Whether the node owns the quota; the others grant none.
+    """
+
+    question: int
+    workspace: str
+    tokens: int
+    wait: float
+    is_owner: bool
+
+
 Message: TypeAlias = (
     Hello
     | Status
@@ -229,4 +305,8 @@
     | Crash
     | Held
     | Cleared
+    | AgeWanted
+    | Age
+    | TokensWanted
+    | TokensGranted
 )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -48,6 +48,7 @@
 from fuchsiagap_node.core.mesh.telling import FLUSH_MS, Teller
 from fuchsiagap_node.core.mesh.ticker import TICK_MS, Ticker
 from fuchsiagap_node.core.mesh.unreadable import Unreadable
+from fuchsiagap_node.core.mesh.workspaces import Workspaces
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -156,15 +157,6 @@
             self._pressures, self._placing.served, clock, rng, tell
         )
         self._rotation = ShareRotation()
-        self.entry = Entry(
-            self._placing,
-            self._pressures,
-            self._admission,
-            self._rotation,
-            tell,
-        )
-        self._callers = CallerEdge(cfg, self.entry, clock, tell)
-        self.entry.parent_of = self.door.parent_of
         own = Member(
             cfg.node,
             secrets.token_hex(6),
@@ -181,7 +173,22 @@
             lambda: self._links,
             rng,
             cfg.first_start,
+            cfg.bounds.revocation,
+        )
+        self._workspaces = Workspaces(
+            cfg, own, self._config, lambda: self._links, clock, rng, tell
         )
+        self.entry = Entry(
+            self._placing,
+            self._pressures,
+            self._admission,
+            self._rotation,
+            tell,
+            self._workspaces.check,
+            self._workspaces.quotas,
+        )
+        self._callers = CallerEdge(cfg, self.entry, clock, tell)
+        self.entry.parent_of = self.door.parent_of
         self._config.changed = self._tell_status
         hello = Hello(
             own.node, own.incarnation, own.address, own.data_centre, own.service
@@ -201,6 +208,7 @@
         self._taking.on_hello = self._links.take_hello
         self._taking.config_text = self._config.text
         self._taking.below = below
+        self._workspaces.prepare_taking(self._taking)
         self._taking.on_report = self.reports.handle
         self._taking.send_snapshot = self.reports.send_snapshot
         self.reports.peers = self._posts
@@ -220,11 +228,13 @@
             (_SETTINGS_MS, self.check_settings),
         ):
             self._ticker.every(interval, do)
+        self._workspaces.schedule(self._ticker)
 
     def _prepare_link(self, link: SendingLink) -> None:
         link.on_status = self._take_status_of
         link.on_config = lambda text: self._config.take_text(text, link.member.node)
         link.on_report = self.reports.handle
+        self._workspaces.prepare_link(link)
         link.send_snapshot = self.reports.send_snapshot
 
     def _take_status_of(self, link: SendingLink) -> None:
@@ -266,6 +276,7 @@
         self.entry.table = RouteTable(stored.config)
         self._rotation.adopt(stored.config)
         self._callers.limits = stored.config.limits
+        self._workspaces.adopt(stored.config)
         self._tell_status()
 
     def _status(self) -> Status:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -32,6 +32,7 @@
 
     from fuchsiagap.core.clock import Milliseconds
     from fuchsiagap.core.routes.model import Route
+    from fuchsiagap.core.workspaces.model import Workspace
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.job import Job
     from fuchsiagap_node.core.mesh.messages import Below
@@ -75,6 +76,10 @@
         The request for which the backend server on this host makes it.
     done : callable
         Told the final answer, once, unless the request is cancelled.
+    workspace : Workspace or None, default=None
+        Whose request it is.
+    waited : float, default=0
+        Milliseconds for which it has waited at this node.
 
     Attributes
     ----------
@@ -106,6 +111,7 @@
         "_service",
         "_started",
         "_tried",
+        "_workspace",
         "wakes_at",
     )
 
@@ -117,7 +123,10 @@
         service: str,
         parent: Job | None,
         done: OnFinal,
+        workspace: Workspace | None = None,
+        waited: Milliseconds = 0.0,
     ) -> None:
+        self._workspace = workspace
         self._placing = placing
         self._req = req
         self._route = route
@@ -125,7 +134,7 @@
         self._parent = None if parent is None else parent.call
         self._parent_job = parent
         self._done = done
-        self._started = placing.clock.now()
+        self._started = placing.clock.now() - waited
         wait = route.timeout if req.wait is None else min(route.timeout, req.wait)
         self._deadline = self._started + wait
         own_due = self._started + route.objective
@@ -229,11 +238,12 @@
         parent = self._parent
         instance = peer.target.instance
         now = placing.clock.now()
-        head = b"%s %s HTTP/1.1\r\n%s%s%s: %s\r\n" % (
+        head = b"%s %s HTTP/1.1\r\n%s%s%s%s: %s\r\n" % (
             req.method,
             req.target,
             req.headers,
             placing.caller_line,
+            placing.workspace_line(self._workspace),
             placing.target_name,
             instance.encode(),
         )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placing.py
@@ -14,6 +14,7 @@
     from collections.abc import Collection, Sequence
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap.core.workspaces.model import Workspace
     from fuchsiagap_node.core.mesh.crash_reports import CrashReports
     from fuchsiagap_node.core.mesh.peers import Peer, Peers
     from fuchsiagap_node.core.mesh.pressures import Pressures
@@ -85,6 +86,13 @@
         self.reports = reports
         self.caller_line = b"%s: %s\r\n" % (cfg.names.caller, cfg.service.encode())
         self.target_name = cfg.names.target
+        self._workspace_name = cfg.names.workspace
+
+    def workspace_line(self, workspace: Workspace | None) -> bytes:
+        """Return the header line that names whose request it is; empty for nobody's."""
+        if workspace is None:
+            return b""
+        return b"%s: %s\r\n" % (self._workspace_name, workspace.name.encode())
 
     def look(self) -> None:
         """Let requests look at the time: at overdue replies, and for servers."""
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/quota_owners.py
@@ -0,0 +1,120 @@
+"""Which node owns a quota, by whom this node can reach."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.workspaces.ownership import candidates, granted_share, owner_of
+from fuchsiagap_node.core.mesh.messages import Ping
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.links import Links
+    from fuchsiagap_node.core.mesh.sending import Member, SendingLink
+
+# Milliseconds that a node gets to be linked, or to answer, before the next one counts
+# as the owner.
+_REACH_MS = 500.0
+# Milliseconds of silence after which a node is asked whether it is there.
+_SILENT_MS = 300.0
+# Milliseconds for which a store that has answered shows that a host is not cut off.
+_STORE_HEARD_MS = 3_000.0
+
+
+class QuotaOwners:
+    """Finds the owner of each quota.
+
+    Parameters
+    ----------
+    own : Member
+        This node.
+    links : callable
+        Returns the links to other nodes.
+    store_age : callable
+        Returns the milliseconds since the store last answered this node.
+    clock : Clock
+        Time in milliseconds.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        links: Callable[[], Links],
+        store_age: Callable[[], Milliseconds],
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._links = links
+        self._store_age = store_age
+        self._clock = clock
+        self._orders: dict[str, tuple[str, ...]] = {}
+        self._orders_of = -1
+        # When a node that is not known to be there was first looked for.
+        self._looked_for: dict[str, Milliseconds] = {}
+
+    @property
+    def node(self) -> str:
+        """Name of this node."""
+        return self._own.node
+
+    def owner(self, workspace: str) -> str | None:
+        """Return the owner of a workspace's quota, as far as this node can tell."""
+        order = self._order(workspace)
+        owner = owner_of(order, self._is_up)
+        if owner == self._own.node:
+            # A node that is new is so known to the one that owned the quota before.
+            self._links().link_to(next((n for n in order if n != owner), owner))
+        return owner
+
+    def is_first(self, workspace: str) -> bool:
+        """Whether this node owns a quota also where all others are up."""
+        return self._order(workspace)[0] == self._own.node
+
+    def share(self) -> float:
+        """Return the part of each quota that this node may hand out."""
+        links = self._links()
+        heard = {k.member.data_centre for k in links if self._is_heard(k)}
+        own = self._own.data_centre
+        known = links.known_data_centres()
+        is_alone = not any(self._is_heard(k) for k in links if k.target.local)
+        hears_own = (
+            not (is_alone and links.n_near) or self._store_age() < _STORE_HEARD_MS
+        )
+        return granted_share(own, known, heard, hears_own)
+
+    def _order(self, workspace: str) -> tuple[str, ...]:
+        links = self._links()
+        if self._orders_of != links.n_changes:
+            self._orders = {}
+            self._orders_of = links.n_changes
+        order = self._orders.get(workspace)
+        if order is None:
+            order = candidates(workspace, (self._own.node, *links.known_nodes()))
+            self._orders[workspace] = order
+        return order
+
+    def _is_heard(self, link: SendingLink) -> bool:
+        return link.is_open() and link.is_heard()
+
+    def _is_up(self, node: str) -> bool:
+        """Whether a node can be reached, or has not had time to show that it can."""
+        if node == self._own.node:
+            return True
+        link = self._links().link_to(node)
+        now = self._clock.now()
+        if link is None:
+            return False
+        if link.is_open() and now - link.reached_at < _SILENT_MS:
+            self._looked_for.pop(node, None)
+            return True
+        since = self._looked_for.get(node)
+        if since is None:
+            self._looked_for[node] = since = now
+            link.post(Ping())
+        elif link.is_open() and link.reached_at > since:
+            # It has answered, and was silent since.
+            self._looked_for[node] = since = now
+            link.post(Ping())
+        return now - since < _REACH_MS
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -15,6 +15,7 @@
 from fuchsiagap_node.core.mesh.link import FramedLink
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
+    Age,
     Below,
     Cleared,
     ConfigText,
@@ -22,6 +23,7 @@
     Ping,
     Reply,
     Status,
+    TokensGranted,
 )
 from fuchsiagap_node.core.mesh.outcome import LINK_LOST, MayHaveRun, NotRun
 from fuchsiagap_node.core.mesh.stream import BrokenStream, dial
@@ -107,6 +109,12 @@
         Told that the node's status changed.
     on_report : callable
         Told what the node reports of requests that crash servers.
+    on_age : callable
+        Told how old the node's knowledge of the configuration is.
+    on_tokens : callable
+        Told what the node grants of a quota that it owns.
+    on_open : callable
+        Told that the link can be used.
     send_snapshot : callable
         Sends the node what it has to know first.
     """
@@ -128,7 +136,10 @@
         self._is_closed_here = False
         self.on_config: Callable[[ConfigText], None] = _ignore
         self.on_status: Callable[[SendingLink], None] = _ignore
-        self.on_report: Callable[[Report, str], None] = _ignore_report
+        self.on_report: Callable[[Report, str], None] = _ignore_both
+        self.on_age: Callable[[Age, str], None] = _ignore_both
+        self.on_tokens: Callable[[TokensGranted], None] = _ignore
+        self.on_open: Callable[[SendingLink], None] = _ignore
         self.send_snapshot: Callable[[Post], None] = _ignore
         self.scope = trio.CancelScope()
 
@@ -259,6 +270,10 @@
                         self.on_config(config)
                     case Crash() | Held() | Cleared() as report:
                         self.on_report(report, self.member.node)
+                    case Age() as age:
+                        self.on_age(age, self.member.node)
+                    case TokensGranted() as tokens:
+                        self.on_tokens(tokens)
                     case Hello() as hello:
                         self._check(hello, link)
             if not self.target.usable and self.target.instance and self._link:
@@ -270,6 +285,7 @@
             raise BrokenStream(f"{hello.node} answers at {self.member.address}")
         self._link = link
         self.send_snapshot(link.post)
+        self.on_open(self)
         self._tell.event("link-up", to=hello.node, incarnation=hello.incarnation)
 
     def _take_reply(self, reply: Reply) -> None:
@@ -315,5 +331,5 @@
     """Do nothing."""
 
 
-def _ignore_report(_: Report, __: str) -> None:
+def _ignore_both(_: object, __: object) -> None:
     """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/taking.py
@@ -13,6 +13,8 @@
 from fuchsiagap_node.core.mesh.link import FramedLink
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
+    Age,
+    AgeWanted,
     Call,
     Cancel,
     Cleared,
@@ -23,6 +25,8 @@
     Pong,
     Reply,
     Status,
+    TokensGranted,
+    TokensWanted,
 )
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
@@ -91,6 +95,10 @@
         Told what another node reports of requests that crash servers.
     send_snapshot : callable
         Sends a node that has just opened a link what it has to know first.
+    answer_age : callable
+        Returns how old this node's knowledge of the configuration is, or None.
+    answer_tokens : callable
+        Returns what this node grants of a quota that it owns.
     """
 
     def __init__(
@@ -112,6 +120,8 @@
         self.below: Callable[[str], float] = _no_calls
         self.on_report: Callable[[Report, str], None] = _ignore_report
         self.send_snapshot: Callable[[Post], None] = _ignore
+        self.answer_age: Callable[[AgeWanted], Age | None] = _no_age
+        self.answer_tokens: Callable[[TokensWanted], TokensGranted] = _no_tokens
 
     def posts(self) -> Iterator[tuple[str, Post]]:
         """Yield the nodes that send calls here, and how to tell them something."""
@@ -174,6 +184,12 @@
                         self.on_hello(hello)
                     case Crash() | Held() | Cleared() as report:
                         self.on_report(report, sender.node)
+                    case AgeWanted() as question:
+                        age = self.answer_age(question)
+                        if age is not None:
+                            link.post(age)
+                    case TokensWanted() as question:
+                        link.post(self.answer_tokens(question))
                     case ConfigWanted():
                         text = self.config_text()
                         if text is not None:
@@ -234,6 +250,15 @@
     """Return no configuration."""
 
 
+def _no_age(_: AgeWanted) -> None:
+    """Return that nothing is known."""
+
+
+def _no_tokens(question: TokensWanted) -> TokensGranted:
+    """Return that this node owns no quota."""
+    return TokensGranted(question.question, question.workspace, 0, 0.0, is_owner=False)
+
+
 def _no_calls(_: str) -> float:
     """Return that no requests make calls."""
     return NO_CALLS
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -145,7 +145,9 @@
     async def _serve(self, stream: Stream) -> None:
         self.connections += 1
         # It reads every header as it came, so that tests see those of the node.
-        plain = HeaderNames(deadline=b"-", target=b"-", caller=b"-")
+        plain = HeaderNames(
+            deadline=b"-", target=b"-", caller=b"-", key=b"-", workspace=b"-"
+        )
         reader = RequestReader(plain, CallerLimits())
         await serve_requests(stream, reader, self._answer)
 
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/core/freshness/__init__.py
@@ -0,0 +1,1 @@
+"""How old a node's knowledge of the configuration is."""
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/core/freshness/knowledge_age.py
@@ -0,0 +1,57 @@
+"""Since when a node cannot know of changes to the configuration.
+
+A revocation has to be in force everywhere within a bound, at nodes that are cut off as
+well. So each node knows a moment up to which no change can have escaped it, and past
+the bound it answers no more for keys.
+
+That moment comes from the store: whoever asked it at a time and got an answer knows all
+that was acknowledged before the question. Passed on by another node it counts from the
+question to that node less the age in its answer. Both are times of the asking node's
+own clock, and time under way makes the moment earlier, never later.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fuchsiagap.core.clock import Milliseconds
+
+
+class KnowledgeAge:
+    """The moment up to which the configuration in force is known to be the newest.
+
+    Attributes
+    ----------
+    as_of : float
+        That moment; minus infinity before the first.
+    """
+
+    def __init__(self) -> None:
+        self.as_of: Milliseconds = float("-inf")
+        # A moment at which a revision was the newest that is not in force here yet.
+        self._ahead_revision = 0
+        self._ahead_as_of: Milliseconds = float("-inf")
+
+    def confirm(self, revision: int, as_of: Milliseconds, in_force: int) -> None:
+        """Take in that a revision was the newest at a moment.
+
+        Parameters
+        ----------
+        revision : int
+            The revision.
+        as_of : float
+            The moment.
+        in_force : int
+            Revision in force here.
+        """
+        if in_force >= revision:
+            self.as_of = max(self.as_of, as_of)
+        elif as_of > self._ahead_as_of:
+            self._ahead_revision = revision
+            self._ahead_as_of = as_of
+
+    def adopt(self, revision: int) -> None:
+        """Take in that a revision is in force here from now on."""
+        if revision >= self._ahead_revision:
+            self.as_of = max(self.as_of, self._ahead_as_of)
--- a/packages/fuchsiagap/src/fuchsiagap/core/routes/model.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/routes/model.py
@@ -9,6 +9,7 @@
     from collections.abc import Mapping
 
     from fuchsiagap.core.clock import Milliseconds
+    from fuchsiagap.core.workspaces.model import Workspace
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,8 @@
         Rank; 0 is refused last.
     max_attempts : int
         Backend servers that one request may be handed to.
+    public : bool, default=False
+        Whether its requests need no API key where workspaces are declared.
     """
 
     name: str
@@ -62,6 +65,7 @@
     objective: Milliseconds
     priority: int
     max_attempts: int
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,9 +119,12 @@
         Services by name.
     limits : CallerLimits
         Limits of callers.
+    workspaces : tuple of Workspace or None
+        Workspaces; None where callers need no API keys at all.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: Mapping[str, Service] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[Workspace, ...] | None = None
--- a/packages/fuchsiagap/src/fuchsiagap/core/routes/table.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/routes/table.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.workspaces.keys import KeyTable
+
 if TYPE_CHECKING:
     from fuchsiagap.core.routes.model import Route, RouteConfig
 
@@ -18,11 +21,23 @@
     ----------
     cfg : RouteConfig
         Version in force.
+
+    Attributes
+    ----------
+    keys : KeyTable or None
+        API keys of callers; None where they need none.
+
+    Raises
+    ------
+    SharedKey
+        If two workspaces hold the same key.
     """
 
     def __init__(self, cfg: RouteConfig) -> None:
         self.cfg = cfg
         self._routes = {(route.host, route.prefix): route for route in cfg.routes}
+        self._ranked: dict[tuple[str, int], Route] = {}
+        self.keys = None if cfg.workspaces is None else KeyTable(cfg.workspaces)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
@@ -45,6 +60,16 @@
             return self._find(host.rpartition(":")[0], path)
         return found
 
+    def ranked(self, route: Route, priority: int | None) -> Route:
+        """Return a route as it is for a workspace with a priority of its own."""
+        if priority is None or priority == route.priority:
+            return route
+        asked = route.name, priority
+        found = self._ranked.get(asked)
+        if found is None:
+            found = self._ranked[asked] = replace(route, priority=priority)
+        return found
+
     def _find(self, host: str, path: str) -> Route | None:
         end = len(path)
         while (end := path.rfind("/", 0, end)) >= 0:
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/core/workspaces/__init__.py
@@ -0,0 +1,1 @@
+"""Workspaces of a deployment: their API keys and their shared request quotas."""
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/core/workspaces/keys.py
@@ -0,0 +1,66 @@
+"""API keys, of which a node keeps digests only."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from fuchsiagap.core.workspaces.model import Workspace
+
+DIGEST_BYTES = 16
+# Keeps digests of keys apart from other digests of the same bytes.
+_PERSON = b"fuchsiagap-key"
+
+
+def key_digest(key: bytes) -> bytes:
+    """Return the digest by which a key is looked up.
+
+    BLAKE2b (RFC 7693) resists preimages, so neither a log nor a dump of memory gives a
+    key away, and how long a look-up takes says nothing of the keys that are held.
+    """
+    return hashlib.blake2b(key, digest_size=DIGEST_BYTES, person=_PERSON).digest()
+
+
+class SharedKey(Exception):
+    """Two workspaces hold the same key.
+
+    Parameters
+    ----------
+    first, second : str
+        Names of the workspaces.
+    """
+
+    def __init__(self, first: str, second: str) -> None:
+        super().__init__(f"workspaces {first!r} and {second!r} hold the same key")
+        self.first = first
+        self.second = second
+
+
+class KeyTable:
+    """The keys of one configuration.
+
+    Parameters
+    ----------
+    workspaces : iterable of Workspace
+        All workspaces.
+
+    Raises
+    ------
+    SharedKey
+        If two of them hold the same key.
+    """
+
+    def __init__(self, workspaces: Iterable[Workspace]) -> None:
+        self._holders: dict[bytes, Workspace] = {}
+        for workspace in workspaces:
+            for digest in workspace.key_digests:
+                holder = self._holders.setdefault(digest, workspace)
+                if holder is not workspace:
+                    raise SharedKey(holder.name, workspace.name)
+
+    def find(self, digest: bytes) -> Workspace | None:
+        """Return the workspace that holds a key, by the digest of the key."""
+        return self._holders.get(digest)
