Test keys, revocations and quotas; find the owner's reach by asking

Now age goes before the turn, an answer counts from the moment of the question on, and three nodes of each data centre are asked whether it is in reach.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -286,11 +286,11 @@
         """Look whether it is this node's turn to ask the store."""
         turn = self._turn()
         now = self._clock.now()
+        if self._is_too_old():
+            self._may_ask_now.set()
         if not turn.is_due:
             self._due_since = None
             self._set_hearing(Hearing.RELIES)
-            if self._is_too_old():
-                self._may_ask_now.set()
             return
         if self._due_since is None:
             self._due_since = now
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/links.py
@@ -9,7 +9,7 @@
 from fuchsiagap_node.core.mesh.sending import Member, SendingLink
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
     import trio
 
@@ -81,6 +81,7 @@
         # Members of this node's data centre by name.
         self._near: list[Member] = []
         self._n_known: Counter[str] = Counter()
+        self._by_place: dict[str, list[str]] = {}
         self._asked_for: dict[str, Milliseconds] = {}
         # Counts the changes of the nodes that are known.
         self.n_changes = 0
@@ -95,18 +96,13 @@
         """Return how many nodes are known of a service, linked or not."""
         return self._n_known[service]
 
-    @property
-    def n_near(self) -> int:
-        """Number of other nodes that are known of this node's data centre."""
-        return len(self._near)
-
     def known_nodes(self) -> Iterable[str]:
         """Return the names of all other nodes that are known."""
         return self._known.keys()
 
-    def known_data_centres(self) -> set[str]:
-        """Return the data centres of the other nodes."""
-        return {member.data_centre for member in self._known.values()}
+    def by_data_centre(self) -> Mapping[str, Sequence[str]]:
+        """Return the other nodes by data centre, in the order of choice."""
+        return self._by_place
 
     def link_to(self, node: str) -> SendingLink | None:
         """Return a link to one node, which is kept as long as it is asked for."""
@@ -181,9 +177,13 @@
         def rank(member: Member) -> int:
             return rendezvous_rank(own.node, member.node)
 
-        for member in sorted(self._known.values(), key=rank):
+        ranked = sorted(self._known.values(), key=rank)
+        for member in ranked:
             near = member.data_centre == own.data_centre
             self._ranked.setdefault((member.service, near), []).append(member)
+        self._by_place = {}
+        for member in ranked:
+            self._by_place.setdefault(member.data_centre, []).append(member.node)
         beside = [m for m in self._known.values() if m.data_centre == own.data_centre]
         self._near = sorted(beside, key=lambda member: member.node)
         self._n_known = Counter(member.service for member in self._known.values())
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/quota_owners.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/quota_owners.py
@@ -8,17 +8,19 @@
 from fuchsiagap_node.core.mesh.messages import Ping
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.links import Links
-    from fuchsiagap_node.core.mesh.sending import Member, SendingLink
+    from fuchsiagap_node.core.mesh.sending import Member
 
 # Milliseconds that a node gets to be linked, or to answer, before the next one counts
 # as the owner.
 _REACH_MS = 500.0
 # Milliseconds of silence after which a node is asked whether it is there.
 _SILENT_MS = 300.0
+# Nodes of each data centre that are asked whether it is in reach.
+_ASKED_IN_EACH = 3
 # Milliseconds for which a store that has answered shows that a host is not cut off.
 _STORE_HEARD_MS = 3_000.0
 
@@ -74,15 +76,16 @@
 
     def share(self) -> float:
         """Return the part of each quota that this node may hand out."""
-        links = self._links()
-        heard = {k.member.data_centre for k in links if self._is_heard(k)}
         own = self._own.data_centre
-        known = links.known_data_centres()
-        is_alone = not any(self._is_heard(k) for k in links if k.target.local)
-        hears_own = (
-            not (is_alone and links.n_near) or self._store_age() < _STORE_HEARD_MS
-        )
-        return granted_share(own, known, heard, hears_own)
+        places = self._links().by_data_centre()
+        heard = {place for place, nodes in places.items() if self._hears(nodes)}
+        hears_own = own not in places or own in heard
+        has_store = self._store_age() < _STORE_HEARD_MS
+        return granted_share(own, places, heard, hears_own or has_store)
+
+    def _hears(self, nodes: Sequence[str]) -> bool:
+        """Whether one of the nodes of a data centre is up."""
+        return any(self._is_up(node) for node in nodes[:_ASKED_IN_EACH])
 
     def _order(self, workspace: str) -> tuple[str, ...]:
         links = self._links()
@@ -95,9 +98,6 @@
             self._orders[workspace] = order
         return order
 
-    def _is_heard(self, link: SendingLink) -> bool:
-        return link.is_open() and link.is_heard()
-
     def _is_up(self, node: str) -> bool:
         """Whether a node can be reached, or has not had time to show that it can."""
         if node == self._own.node:
@@ -113,7 +113,7 @@
         if since is None:
             self._looked_for[node] = since = now
             link.post(Ping())
-        elif link.is_open() and link.reached_at > since:
+        elif link.is_open() and link.reached_at >= since:
             # It has answered, and was silent since.
             self._looked_for[node] = since = now
             link.post(Ping())
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -14,19 +14,21 @@
 
 from fuchsiagap.core.door.incarnation import BackendReport, BackendState
 from fuchsiagap.core.routes.model import CallerLimits, Route, RouteConfig, Share
+from fuchsiagap.core.workspaces.keys import key_digest
+from fuchsiagap.core.workspaces.model import Workspace
 from fuchsiagap_node.core.mesh.http_answer import Answer, AnswerReader
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
 from fuchsiagap_node.core.mesh.node import Node
-from fuchsiagap_node.core.mesh.settings import Addresses, MeshSettings
+from fuchsiagap_node.core.mesh.settings import Addresses, Bounds, MeshSettings
 from fuchsiagap_node.core.mesh.stream import BrokenStream, dial
 from fuchsiagap_node.core.mesh.unreadable import Unreadable
 from fuchsiagap_standins.mesh.backend_server import BackendServer
 from fuchsiagap_standins.mesh.memory_store import MemoryStore, SharedState
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Mapping, Sequence
 
-    from fuchsiagap.core.clock import Clock
+    from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.retries.shares import SharedBudget
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.stream import Stream
@@ -71,6 +73,14 @@
     return Route(**fields)  # type: ignore[arg-type]
 
 
+def a_workspace(name: str, *keys: str, **changes: object) -> Workspace:
+    """Return a workspace with some keys and without a limit."""
+    digests = tuple(key_digest(key.encode()) for key in keys)
+    fields: dict[str, object] = {"name": name, "key_digests": digests}
+    fields.update(changes)
+    return Workspace(**fields)  # type: ignore[arg-type]
+
+
 @dataclass
 class Host:
     """A node and the backend server beside it."""
@@ -109,11 +119,13 @@
         wait: float = 2_000.0,
         method: str = "GET",
         body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
     ) -> Answer | None:
         """Send a request as a caller; None if the connection ends without an answer."""
         stream = await dial(self.node.cfg.addresses.callers, 500.0)
+        data = request_bytes(path, request_id, wait, method, body, headers)
         try:
-            await stream.send(request_bytes(path, request_id, wait, method, body))
+            await stream.send(data)
             return await read_answer(stream)
         finally:
             stream.close()
@@ -125,12 +137,15 @@
     wait: float = 2_000.0,
     method: str = "GET",
     body: bytes = b"",
+    headers: Mapping[str, str] | None = None,
 ) -> bytes:
     """Return a request as a caller sends it."""
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: api.example\r\n"
         f"Call-Id: {request_id}\r\nTime-Left: {wait:.0f}\r\n"
     )
+    for name, value in (headers or {}).items():
+        head += f"{name}: {value}\r\n"
     if body:
         head += f"Content-Length: {len(body)}\r\n"
     return head.encode() + b"\r\n" + body
@@ -165,10 +180,18 @@
     hosts: list[Host] = field(default_factory=list)
     expects_faults: bool = False
 
-    def put_config(self, *routes: Route, limits: CallerLimits | None = None) -> None:
+    def put_config(
+        self,
+        *routes: Route,
+        limits: CallerLimits | None = None,
+        workspaces: Sequence[Workspace] | None = None,
+    ) -> None:
         """Accept the next version of the configuration."""
         limits = limits or CallerLimits()
-        config = RouteConfig(len(self.known) + 1, routes, limits=limits)
+        declared = None if workspaces is None else tuple(workspaces)
+        config = RouteConfig(
+            len(self.known) + 1, routes, limits=limits, workspaces=declared
+        )
         self.known[config.version] = config
         self.state.put_config(config)
 
@@ -180,6 +203,8 @@
         slots: int = 8,
         names: HeaderNames = _STANDARD_NAMES,
         clock: Clock | None = None,
+        revocation: Milliseconds | None = None,
+        first_start: bool = False,
     ) -> Host:
         """Start a host."""
         name = f"{service}-{len(self.hosts)}"
@@ -191,7 +216,9 @@
             free_address(),
             Addresses(*(free_address() for _ in range(5))),
             "",
+            bounds=Bounds(revocation=revocation),
             names=names,
+            first_start=first_start,
         )
         if budget is not None:
             cfg = replace(cfg, budget=budget)
