Rank requests by workspace first and by route within it

With the workspace's priority in place of the route's, all kinds of a workspace had one rank: certificates gave way together with lookups. And the entry kept its counts by route alone, so that requests of two priorities on one route reset them in turn (test: 200 requests of two workspaces, both counts kept).

Now the rank is the workspace's priority and, among equal ones, the route's; counts, shares and levels are kept by route and priority. The retry budget's whole part goes to the best rank that a door sees, in place of rank 0, which no keyed request may have.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -66,6 +66,8 @@
         self._stepped_at = clock.now()
         self._even = EvenShares(rng)
         self._shares: dict[tuple[str, str], float] = {}
+        # Names of routes by the kinds of their requests.
+        self._routes: dict[str, str] = {}
 
     def step(self) -> None:
         """Let each level follow the fullness of its service."""
@@ -77,23 +79,23 @@
         kinds = self._order.loads(now)
         kept = kept_share(self._served.whole(now))
         worst = deepest_cut(0, kinds, kept)
-        for (service, route), level in self._levels.items():
+        for (service, kind), level in self._levels.items():
             was_open = level.cut == 0.0
-            fullness = self._pressures.of(service, route)
-            step = steps.get(route)
+            fullness = self._pressures.of(service, self._routes[kind])
+            step = steps.get(kind)
             most = deepest_cut(step or 0, kinds, kept)
             level.step(fullness, min(elapsed, 5 * STEP_MS), worst, most)
             if step is None:
                 # Asked for too seldom to have a place among the kinds, or to matter.
-                self._shares[service, route] = 1.0
+                self._shares[service, kind] = 1.0
             else:
                 room = level.room(is_worst=step == 0)
-                self._shares[service, route] = share_of(step, room, kinds, kept)
+                self._shares[service, kind] = share_of(step, room, kinds, kept)
             if was_open != (level.cut == 0.0):
                 self._tell.event(
                     "admission-changed",
                     service=service,
-                    route=route,
+                    route=kind,
                     fullness=round(fullness, 2),
                     refusing=was_open,
                 )
@@ -101,25 +103,30 @@
     def _learn_calls(self) -> None:
         """Take in what requests make, of a split route at whichever service is most."""
         most: dict[str, float] = {}
-        for service, route in self._levels:
-            calls = self._pressures.calls(service, route)
-            most[route] = max(most.get(route, 0.0), calls)
-        for route, calls in most.items():
-            self._order.note_calls(route, calls)
+        for service, kind in self._levels:
+            calls = self._pressures.calls(service, self._routes[kind])
+            most[kind] = max(most.get(kind, 0.0), calls)
+        for kind, calls in most.items():
+            self._order.note_calls(kind, calls)
 
     def admitted_share(self, service: str, route: Route) -> float:
         """Return the share of a route's requests that is let in now."""
-        asked = service, route.name
+        asked = service, route.kind
         if asked not in self._levels:
+            self._routes[route.kind] = route.name
             self._levels[asked] = RefusalLevel()
             self._shares[asked] = 1.0
         self._order.note_request(route, self._clock.now())
         return self._shares[asked]
 
     def shares(self) -> Iterator[tuple[str, str, float]]:
-        """Yield service, route and admitted share of what was asked for so far."""
-        for (service, route), share in sorted(self._shares.items()):
-            yield service, route, share
+        """Yield service, kind and admitted share of what was asked for so far."""
+        for (service, kind), share in sorted(self._shares.items()):
+            yield service, kind, share
+
+    def route_of(self, kind: str) -> str:
+        """Return the name of the route of a kind that was asked for."""
+        return self._routes[kind]
 
     def admits(self, route: Route, share: float, turn: CallerTurn) -> bool:
         """Return whether one request is let in.
@@ -136,7 +143,7 @@
         turn : CallerTurn
             What its caller is owed.
         """
-        return self._even.admits(route.name, share, turn)
+        return self._even.admits(route.kind, share, turn)
 
     def retry_after(self, route: Route) -> Milliseconds:
         """Return when a refused caller may come back."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -125,7 +125,7 @@
             done(caller)
             return None
         if caller is None:
-            return self._admit(req, route, done, turn)
+            return self._admit(req, table.ranked(route, None), done, turn)
         ranked = table.ranked(route, caller.priority)
         keyed = _KeyedRequest(self, caller, req, ranked, done, turn)
         return keyed if keyed.start(self._quotas) else None
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/load_line.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/load_line.py
@@ -35,8 +35,11 @@
         Time in milliseconds.
     """
     refusing = {
-        f"{service} {route}": (round(share, 2), round(pressures.of(service, route), 2))
-        for service, route, share in admission.shares()
+        f"{service} {kind}": (
+            round(share, 2),
+            round(pressures.of(service, admission.route_of(kind)), 2),
+        )
+        for service, kind, share in admission.shares()
         if share < 1.0
     }
     if not door.load and not refusing:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_workspaces.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_workspaces.py
@@ -159,22 +159,31 @@
     def test_priority_of_a_workspace_goes_before_that_of_the_route(self):
         async def main():
             first = a_workspace("first", "key-first", priority=0)
+            second = a_workspace("second", "key-second", priority=1)
+            routes = a_route("late", priority=4), a_route("soon", priority=0)
             async with a_deployment() as deployment:
-                deployment.put_config(a_route("read", priority=4), workspaces=(first,))
+                deployment.put_config(*routes, workspaces=(first, second))
                 host = deployment.add("certs")
                 await deployment.settle()
-                ranks = []
+                ranks = {}
                 submit = host.node.door.submit
 
                 def watch(job):
-                    ranks.append(job.call.rank)
+                    ranks[job.call.request_id] = job.call.rank
                     submit(job)
 
                 host.node.door.submit = watch
-                await host.send("/read/1", "r1", headers=with_key("key-first"))
-                return ranks
+                for request_id, path, key in (
+                    ("first-late", "/late/1", "key-first"),
+                    ("second-soon", "/soon/1", "key-second"),
+                    ("second-late", "/late/1", "key-second"),
+                ):
+                    await host.send(path, request_id, headers=with_key(key))
+                return sorted(ranks, key=ranks.get), len(set(ranks.values()))
 
-        self.assertEqual([0], run_in_memory(main))
+        self.assertEqual(
+            (["first-late", "second-soon", "second-late"], 3), run_in_memory(main)
+        )
 
     def test_two_workspaces_with_one_request_are_two_callers(self):
         async def main():
--- a/packages/fuchsiagap/src/fuchsiagap/core/pressure/order.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/pressure/order.py
@@ -61,15 +61,15 @@
 
     def note_request(self, route: Route, now: Milliseconds) -> None:
         """Take in that a request of a route comes."""
-        kind = self._kinds.get(route.name)
+        kind = self._kinds.get(route.kind)
         if kind is None or kind.rank != route.priority:
-            kind = self._kinds[route.name] = _Kind(route.priority, now)
+            kind = self._kinds[route.kind] = _Kind(route.priority, now)
             self._steps.clear()
         kind.note_request(now)
 
-    def note_calls(self, route: str, calls: float) -> None:
-        """Take in how many calls a request of a route makes, with those below."""
-        kind = self._kinds.get(route)
+    def note_calls(self, name: str, calls: float) -> None:
+        """Take in how many calls a request of a kind makes, with those below."""
+        kind = self._kinds.get(name)
         if kind is not None:
             kind.calls = calls
             self._steps.clear()
--- a/packages/fuchsiagap/src/fuchsiagap/core/retries/shares.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/retries/shares.py
@@ -68,7 +68,7 @@
     Parameters
     ----------
     rank : int
-        Priority of the request at the root of its tree; 0 is the best.
+        Priority of the request at the root of its tree; the least is the best.
     lot : int
         What its tree has drawn, below `N_LOTS`; the smaller, the sooner it is repeated.
     is_call : bool
@@ -86,9 +86,9 @@
         """Whether its request is one call, so that this repeat may be all it needs."""
         return not self.is_call and self.calls < 1.0
 
-    def part(self) -> float:
-        """Return the part of a door's share that it may use."""
-        return 1.0 if self.is_whole() or self.rank == 0 else _LESS_URGENT
+    def part(self, best: int) -> float:
+        """Return the part of a door's share that it may use, by the best rank there."""
+        return 1.0 if self.is_whole() or self.rank <= best else _LESS_URGENT
 
 
 @dataclass(slots=True)
@@ -176,7 +176,8 @@
         """
         part = self._part()
         share = self._share(repeat.calls, n_doors)
-        if self._repeats + 1 > share * repeat.part() + self._rounding:
+        best = min(self._ranks, default=repeat.rank)
+        if self._repeats + 1 > share * repeat.part(best) + self._rounding:
             return False
         if not repeat.is_whole() and not self._is_drawn(repeat, share, failing):
             return False
--- a/packages/fuchsiagap/src/fuchsiagap/core/routes/model.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/routes/model.py
@@ -54,6 +54,9 @@
         Backend servers that one request may be handed to.
     public : bool, default=False
         Whether its requests need no API key where workspaces are declared.
+    workspace_priority : int or None, default=None
+        Priority of the workspaces for whose requests it is ranked; see
+        `fuchsiagap.core.routes.ranks`.
     """
 
     name: str
@@ -66,6 +69,14 @@
     priority: int
     max_attempts: int
     public: bool = False
+    workspace_priority: int | None = None
+
+    @property
+    def kind(self) -> str:
+        """Name of those of its requests that share a rank."""
+        if self.workspace_priority is None:
+            return self.name
+        return f"{self.name} at {self.workspace_priority}"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fuchsiagap/src/fuchsiagap/core/routes/table.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/routes/table.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.routes.ranks import ranked
 from fuchsiagap.core.workspaces.keys import KeyTable
 
 if TYPE_CHECKING:
@@ -36,7 +36,7 @@
     def __init__(self, cfg: RouteConfig) -> None:
         self.cfg = cfg
         self._routes = {(route.host, route.prefix): route for route in cfg.routes}
-        self._ranked: dict[tuple[str, int], Route] = {}
+        self._ranked: dict[tuple[str, int | None], Route] = {}
         self.keys = None if cfg.workspaces is None else KeyTable(cfg.workspaces)
 
     def find(self, host: str, path: str) -> Route | None:
@@ -61,13 +61,13 @@
         return found
 
     def ranked(self, route: Route, priority: int | None) -> Route:
-        """Return a route as it is for a workspace with a priority of its own."""
-        if priority is None or priority == route.priority:
+        """Return a route as it is for requests of a workspace of a priority."""
+        if self.keys is None:
             return route
         asked = route.name, priority
         found = self._ranked.get(asked)
         if found is None:
-            found = self._ranked[asked] = replace(route, priority=priority)
+            found = self._ranked[asked] = ranked(route, priority)
         return found
 
     def _find(self, host: str, path: str) -> Route | None:
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/pressure/test_order.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/pressure/test_order.py
@@ -2,6 +2,7 @@
 
 from fuchsiagap.core.pressure.order import FORGOTTEN_MS, RefusalOrder
 from fuchsiagap.core.routes.model import Route, Share
+from fuchsiagap.core.routes.ranks import ranked
 
 
 def a_route(name, priority):
@@ -47,6 +48,15 @@
         order.note_request(a_route("read", 0), 0.0)
         self.assertEqual([0, 0], steps(order, "read", "buy"))
 
+    def test_one_route_for_workspaces_of_two_priorities_is_two_kinds(self):
+        order = RefusalOrder()
+        urgent, usual = (ranked(a_route("read", 1), p) for p in (0, 1))
+        for number in range(200):
+            order.note_request(urgent if number % 10 == 0 else usual, 10.0 * number)
+        self.assertEqual([1, 0], steps(order, urgent.kind, usual.kind))
+        loads = {load.step: load.load for load in order.loads(2_000.0)}
+        self.assertGreater(loads[0], 5 * loads[1], "the counts of both are kept")
+
     def test_kind_that_nobody_asks_for_any_more_is_no_step(self):
         order = an_order(seldom=(9, 0.0), read=(2, 0.0), buy=(0, 0.0))
         self.assertEqual([1, 2], steps(order, "read", "buy"))
