--- /dev/null
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Ways to keep a quota over many nodes, played against an exact oracle."""
--- /dev/null
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/quotas/play.py
@@ -0,0 +1,154 @@
+"""Plays of ways to keep quotas, judged by an exact token bucket.
+
+Run as ``python -m fuchsiagap_standins.quotas.play [SEED]``; prints a table.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap.core.workspaces.token_bucket import TokenBucket
+from fuchsiagap_standins.quotas.scenario import Scenario, requests
+from fuchsiagap_standins.quotas.ways import WAYS, Fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from fuchsiagap.core.clock import Milliseconds
+    from fuchsiagap.core.workspaces.model import Workspace
+    from fuchsiagap_standins.quotas.ways import Way
+
+# The window and the tolerance in which a quota is judged.
+WINDOW_MS = 5_000.0
+OVERRUN = 0.1
+SLACK = 20.0
+# Milliseconds between two kills; a node is down until the next one.
+_KILL_MS = 1_000.0
+
+SCENARIOS = (
+    Scenario("calm, 10 nodes", 10),
+    Scenario("calm, 60 nodes", 60),
+    Scenario("calm, 300 nodes", 300),
+    Scenario("calm, 3,200 nodes", 3_200),
+    Scenario("one asks 7.5 times, 60 nodes", 60, hot_times=7.5),
+    Scenario("one asks 7.5 times, 300 nodes", 300, hot_times=7.5),
+    Scenario("half of the callers move, 60 nodes", 60, moves=True),
+    Scenario("a node a second is killed, 60 nodes", 60, kills=True),
+    Scenario("killed, and 7.5 times", 60, kills=True, hot_times=7.5),
+    Scenario("a place is cut off, 60 nodes", 60, cut=True),
+    Scenario("cut off, and 7.5 times", 60, cut=True, hot_times=7.5),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What a play showed.
+
+    Parameters
+    ----------
+    overrun : float
+        Most that a workspace got in a window, as a part of what it may get there with
+        the tolerance; above 1 the quota is broken.
+    refused : float
+        Part of the requests below the limits that were refused.
+    messages, n_bytes : float
+        What a node sent a second.
+    """
+
+    overrun: float
+    refused: float
+    messages: float
+    n_bytes: float
+
+
+class _Window:
+    """Requests of one workspace that were let in of late."""
+
+    def __init__(self, workspace: Workspace) -> None:
+        plain = workspace.rate * WINDOW_MS / MS_PER_S + workspace.burst
+        self._most = plain * (1.0 + OVERRUN) + SLACK
+        self._at: deque[Milliseconds] = deque()
+        self.worst = 0.0
+
+    def add(self, now: Milliseconds) -> None:
+        """Count one that is let in now."""
+        while self._at and self._at[0] <= now - WINDOW_MS:
+            self._at.popleft()
+        self._at.append(now)
+        self.worst = max(self.worst, len(self._at) / self._most)
+
+
+def play(
+    scenario: Scenario,
+    make: Callable[[Fleet, Sequence[Workspace]], Way],
+    seed: int,
+) -> Figures:
+    """Play a scenario with one way."""
+    workspaces = scenario.workspaces()
+    fleet = Fleet(scenario, [0.0] * scenario.n_nodes)
+    way = make(fleet, workspaces)
+    oracle = [TokenBucket(0.0, is_full=True) for _ in workspaces]
+    windows = [_Window(workspace) for workspace in workspaces]
+    owed = refused = 0
+    for request in requests(scenario, seed):
+        now = request.at
+        _bring(scenario, fleet, way, now)
+        way.tick(now)
+        if request.node in fleet.down:
+            continue
+        quota = workspaces[request.workspace]
+        exact = oracle[request.workspace]
+        exact.fill(quota.rate, quota.burst, now)
+        is_owed = exact.take(1) == 1
+        owed += is_owed
+        if way.admits(request.node, request.workspace, now):
+            windows[request.workspace].add(now)
+        else:
+            refused += is_owed
+    seconds = scenario.length / MS_PER_S * scenario.n_nodes
+    return Figures(
+        max(window.worst for window in windows),
+        refused / max(owed, 1),
+        way.messages / seconds,
+        way.n_bytes / seconds,
+    )
+
+
+def _bring(scenario: Scenario, fleet: Fleet, way: Way, now: Milliseconds) -> None:
+    """Let nodes be killed and come back, and a place be cut off."""
+    if scenario.kills:
+        victim = int(now // _KILL_MS) * 7 % scenario.n_nodes
+        if victim not in fleet.down:
+            for node in fleet.down:
+                fleet.started[node] = now
+            fleet.down = {victim}
+            way.restart(victim)
+    is_cut = scenario.cut and scenario.is_middle(now)
+    if is_cut and not fleet.is_cut:
+        fleet.cut_at = now
+    fleet.is_cut = is_cut
+
+
+def main() -> None:
+    """Play all scenarios in all ways and print a table."""
+    seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
+    head = (
+        "| scenario | way | worst window | refused below the limit | messages | bytes |"
+    )
+    print(head, "|---|---|---|---|---|---|", sep="\n")
+    for scenario in SCENARIOS:
+        for name, make in WAYS.items():
+            found = play(scenario, make, seed)
+            print(
+                f"| {scenario.name} | {name} | {found.overrun:.2f}"
+                f" | {100 * found.refused:.2f}% | {found.messages:.1f}"
+                f" | {found.n_bytes:.0f} |"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/quotas/ways.py
@@ -0,0 +1,248 @@
+"""Three ways to keep quotas: equal shares, shares by demand, tokens of one owner."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+from fuchsiagap.core.workspaces.grants import Grant, QuotaGrants
+from fuchsiagap.core.workspaces.holdings import QuotaHoldings
+from fuchsiagap.core.workspaces.ownership import candidates, owner_of
+from fuchsiagap.core.workspaces.token_bucket import TokenBucket
+from fuchsiagap_standins.quotas.scenario import N_PLACES
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from fuchsiagap.core.clock import Milliseconds
+    from fuchsiagap.core.workspaces.model import Workspace
+    from fuchsiagap_standins.quotas.scenario import Scenario
+
+# Milliseconds between two rounds in which nodes tell each other their demand.
+_ROUND_MS = 500.0
+# Nodes that each tells, in a round.
+_FAN_OUT = 8
+# Milliseconds that a message takes, with the work at both ends.
+_DELAY_MS = 3.0
+# Bytes of a question or an answer, and of one workspace in a round.
+_MESSAGE_BYTES = 40
+_ROW_BYTES = 12
+# Milliseconds until a node is known to be out of reach.
+_DETECTED_MS = 1_000.0
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Which nodes are up and which reach each other.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        What is played.
+    started : list of float
+        When each node last started.
+    down : set of int
+        Nodes that are down.
+    is_cut : bool
+        Whether the first place is cut off.
+    cut_at : float
+        Since when.
+    """
+
+    scenario: Scenario
+    started: list[Milliseconds]
+    down: set[int] = field(default_factory=set)
+    is_cut: bool = False
+    cut_at: Milliseconds = 0.0
+
+    def reaches(self, one: int, other: int) -> bool:
+        """Whether a message of one node gets to another."""
+        if one in self.down or other in self.down:
+            return False
+        across = (one % N_PLACES == 0) != (other % N_PLACES == 0)
+        return not (self.is_cut and across)
+
+
+class Way(Protocol):
+    """A way to keep quotas.
+
+    Attributes
+    ----------
+    messages, n_bytes : int
+        What was sent for it.
+    """
+
+    messages: int
+    n_bytes: int
+
+    def admits(self, node: int, workspace: int, now: Milliseconds) -> bool:
+        """Return whether a request is let in."""
+
+    def tick(self, now: Milliseconds) -> None:
+        """Do what is due."""
+
+    def restart(self, node: int) -> None:
+        """Forget what a node knew."""
+
+
+class EqualShares:
+    """Each node has the same part of each quota, and tells nobody anything."""
+
+    def __init__(self, fleet: Fleet, workspaces: Sequence[Workspace]) -> None:
+        self._n = fleet.scenario.n_nodes
+        self._workspaces = workspaces
+        self._buckets: dict[tuple[int, int], TokenBucket] = {}
+        self.messages = self.n_bytes = 0
+
+    def admits(self, node: int, workspace: int, now: Milliseconds) -> bool:
+        """Return whether a request is let in."""
+        bucket = self._buckets.get((node, workspace))
+        if bucket is None:
+            bucket = self._buckets[node, workspace] = TokenBucket(now, is_full=True)
+        quota = self._workspaces[workspace]
+        bucket.fill(quota.rate / self._n, quota.burst / self._n, now)
+        return bucket.take(1) == 1
+
+    def tick(self, now: Milliseconds) -> None:
+        """Do nothing."""
+
+    def restart(self, node: int) -> None:
+        """Forget what a node knew."""
+        for key in [key for key in self._buckets if key[0] == node]:
+            del self._buckets[key]
+
+
+class DemandShares:
+    """Each node has a part by what it was asked for, as of the last round."""
+
+    def __init__(self, fleet: Fleet, workspaces: Sequence[Workspace]) -> None:
+        self._fleet = fleet
+        self._workspaces = workspaces
+        self._asked: list[Counter[int]] = [
+            Counter() for _ in range(fleet.scenario.n_nodes)
+        ]
+        self._told = self._asked
+        self._next = _ROUND_MS
+        self._buckets: dict[tuple[int, int], TokenBucket] = {}
+        self.messages = self.n_bytes = 0
+
+    def admits(self, node: int, workspace: int, now: Milliseconds) -> bool:
+        """Return whether a request is let in."""
+        self._asked[node][workspace] += 1
+        bucket = self._buckets.get((node, workspace))
+        if bucket is None:
+            bucket = self._buckets[node, workspace] = TokenBucket(now, is_full=False)
+            bucket.level = 1.0
+        quota = self._workspaces[workspace]
+        share = self._share(node, workspace)
+        bucket.fill(quota.rate * share, quota.burst * share, now)
+        return bucket.take(1) == 1
+
+    def _share(self, node: int, workspace: int) -> float:
+        heard = [
+            told[workspace]
+            for other, told in enumerate(self._told)
+            if other == node or self._fleet.reaches(other, node)
+        ]
+        whole = sum(heard)
+        if not whole:
+            return 1.0 / len(self._told)
+        return self._told[node][workspace] / whole
+
+    def tick(self, now: Milliseconds) -> None:
+        """Tell what was asked for, once a round."""
+        if now < self._next:
+            return
+        self._next += _ROUND_MS
+        self._told = self._asked
+        self._asked = [Counter() for _ in self._told]
+        for told in self._told:
+            # What is new spreads over all by a few messages of each node.
+            self.messages += _FAN_OUT
+            self.n_bytes += _FAN_OUT * _ROW_BYTES * len(told)
+
+    def restart(self, node: int) -> None:
+        """Forget what a node knew."""
+        self._asked[node] = Counter()
+        for key in [key for key in self._buckets if key[0] == node]:
+            del self._buckets[key]
+
+
+class OwnerTokens:
+    """One node owns each quota; the others ask it for tokens. The code in use."""
+
+    def __init__(self, fleet: Fleet, workspaces: Sequence[Workspace]) -> None:
+        self._fleet = fleet
+        self._workspaces = workspaces
+        nodes = [f"n{node}" for node in range(fleet.scenario.n_nodes)]
+        self._orders = [
+            [int(name[1:]) for name in candidates(workspace.name, nodes)]
+            for workspace in workspaces
+        ]
+        self._holdings = [QuotaHoldings() for _ in nodes]
+        self._grants = [QuotaGrants() for _ in nodes]
+        self.messages = self.n_bytes = 0
+
+    def admits(self, node: int, workspace: int, now: Milliseconds) -> bool:
+        """Return whether a request is let in."""
+        holdings, quota = self._holdings[node], self._workspaces[workspace]
+        holdings.count_request(quota.name, now)
+        if holdings.take(quota.name, now):
+            self._fetch(node, workspace, 0, now)
+            return True
+        if holdings.denied_for(quota.name, now) > 0.0:
+            return False
+        self._fetch(node, workspace, 1, now)
+        return holdings.take(quota.name, now)
+
+    def _fetch(
+        self, node: int, workspace: int, n_waiting: int, now: Milliseconds
+    ) -> None:
+        quota = self._workspaces[workspace]
+        wanted = self._holdings[node].wanted(quota.name, n_waiting, now)
+        owner = self._owner(node, workspace, now)
+        if not wanted or owner is None:
+            return
+        if owner != node:
+            self.messages += 2
+            self.n_bytes += 2 * _MESSAGE_BYTES
+            if not self._fleet.reaches(node, owner):
+                return
+        is_first = self._orders[workspace][0] == owner
+        begins_full = is_first and self._fleet.started[owner] == 0.0
+        grant = self._grants[owner].grant(
+            quota, wanted, now, self._part(owner, now), begins_full
+        )
+        self._holdings[node].add(quota.name, Grant(grant.tokens, grant.wait), now)
+
+    def _owner(self, node: int, workspace: int, now: Milliseconds) -> int | None:
+        def is_up(name: str) -> bool:
+            other = int(name)
+            if self._fleet.reaches(node, other):
+                return True
+            # Out of reach for less than it takes to notice: it still counts.
+            return self._fleet.is_cut and now - self._fleet.cut_at < _DETECTED_MS
+
+        found = owner_of(map(str, self._orders[workspace]), is_up)
+        return None if found is None else int(found)
+
+    def _part(self, owner: int, now: Milliseconds) -> float:
+        if not self._fleet.is_cut or now - self._fleet.cut_at < _DETECTED_MS:
+            return 1.0
+        return 1.0 / N_PLACES if owner % N_PLACES == 0 else 1.0 - 1.0 / N_PLACES
+
+    def tick(self, now: Milliseconds) -> None:
+        """Do nothing."""
+
+    def restart(self, node: int) -> None:
+        """Forget what a node knew."""
+        self._holdings[node] = QuotaHoldings()
+        self._grants[node] = QuotaGrants()
+
+
+WAYS: dict[str, Callable[[Fleet, Sequence[Workspace]], Way]] = {
+    "equal shares": EqualShares,
+    "shares by demand": DemandShares,
+    "tokens of an owner": OwnerTokens,
+}
