Revert reading by functions: it gains nothing

What the loop saves a message, the second epoll instance costs: each wake waits twice and registers the inner instance anew.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/door.py
@@ -36,7 +36,6 @@
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.door.incarnation import BackendReport
     from fuchsiagap_node.core.mesh.job import Job
-    from fuchsiagap_node.core.mesh.poller import Poller
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.stream import BrokenStream
     from fuchsiagap_node.core.mesh.telling import Teller
@@ -65,8 +64,6 @@
         Logs and counters.
     rng : random.Random
         Rounds shares of the retry budget.
-    poller : Poller
-        Watches the connections to the server.
 
     Attributes
     ----------
@@ -83,12 +80,7 @@
     """
 
     def __init__(
-        self,
-        cfg: MeshSettings,
-        clock: Clock,
-        teller: Teller,
-        rng: random.Random,
-        poller: Poller,
+        self, cfg: MeshSettings, clock: Clock, teller: Teller, rng: random.Random
     ) -> None:
         self._cfg = cfg
         self.reports = CrashReports(cfg.quarantine, cfg.service, clock, rng, teller)
@@ -100,7 +92,7 @@
         self.turns = RankTurns()
         self._lost = LostTrees()
         self._incarnation = Incarnation()
-        self._conns = BackendConns(cfg, clock, teller, self._settle, poller)
+        self._conns = BackendConns(cfg, clock, teller, self._settle)
         self._at_server: dict[Job, None] = {}
         self._by_id: dict[str, Job] = {}
         self._usable = ""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/links.py
@@ -16,7 +16,6 @@
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.messages import Hello
     from fuchsiagap_node.core.mesh.peers import Peers
-    from fuchsiagap_node.core.mesh.poller import Poller
     from fuchsiagap_node.core.mesh.telling import Teller
 
 # Nodes of one service that a node keeps links to, in its own data centre and elsewhere.
@@ -58,8 +57,6 @@
         Time in milliseconds.
     teller : Teller
         Logs.
-    poller : Poller
-        Watches the connections.
 
     Attributes
     ----------
@@ -70,15 +67,8 @@
     """
 
     def __init__(
-        self,
-        own: Member,
-        hello: Hello,
-        peers: Peers,
-        clock: Clock,
-        teller: Teller,
-        poller: Poller,
+        self, own: Member, hello: Hello, peers: Peers, clock: Clock, teller: Teller
     ) -> None:
-        self._poller = poller
         self._own = own
         self._hello = hello
         self._peers = peers
@@ -233,9 +223,7 @@
         link = self._links.get(member.node)
         if link is None:
             assert self.nursery is not None
-            link = SendingLink(
-                member, self._hello, near, self._clock, self._tell, self._poller
-            )
+            link = SendingLink(member, self._hello, near, self._clock, self._tell)
             self._links[member.node] = link
             self.on_link(link)
             self._peers.put(link)
