--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/story.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/story.py
@@ -108,6 +108,10 @@
     for line in own:
         if line.event == "refused":
             return _refused(line, around)
+        if line.event == "key-refused":
+            return _key_refused(line)
+        if line.event == "quota-refused":
+            return _quota_refused(line)
     given_up = [line for line in own if line.event == "given-up"]
     if given_up:
         return _given_up(given_up[-1], calls, around)
@@ -120,6 +124,34 @@
     return "it was answered at the first try; its time was spent at backend servers"
 
 
+_KEY_CAUSES = {
+    "no-key": "401, not sent: it carried no API key, or more than one",
+    "unknown-key": "401, not sent: no workspace of the configuration holds its API key",
+    "knowledge-too-old": (
+        "503, not sent: the node could not know any more which API keys had been"
+        " taken away"
+    ),
+}
+
+
+def _key_refused(line: Line) -> str:
+    cause = str(line.fields.get("cause"))
+    why = _KEY_CAUSES.get(cause, cause)
+    age = line.fields.get("age")
+    if cause == "knowledge-too-old" and age is not None:
+        return f"{why}: it last heard {age} ms before"
+    return why
+
+
+def _quota_refused(line: Line) -> str:
+    workspace = line.fields.get("workspace")
+    if line.fields.get("cause") == "over":
+        why = f"429, not sent: workspace {workspace} was at its limit over all nodes"
+    else:
+        why = f"503, not sent: the owner of the quota of {workspace} did not answer"
+    return f"{why}; told to come back after {line.fields.get('retry_after')} ms"
+
+
 def _refused(line: Line, around: list[Line]) -> str:
     route = line.fields.get("route")
     begun = [
--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
@@ -140,3 +140,26 @@
     if request:
         data["request"] = request
     return json.dumps({**data, **fields})
+
+
+class TestWorkspaces(TestCase):
+    def cause_of(self, **fields):
+        """Return the cause that a line of a node leads to."""
+        line = {"t": 1.0, "wall": 1.0, "node": "n", "request": "r1", "route": "read"}
+        return tell(read_lines([json.dumps(line | fields)]).lines, "r1").cause
+
+    def test_key_quota_and_old_knowledge_are_told_apart(self):
+        unknown = self.cause_of(event="key-refused", cause="unknown-key", age=90)
+        old = self.cause_of(event="key-refused", cause="knowledge-too-old", age=4_800)
+        over = self.cause_of(
+            event="quota-refused", cause="over", workspace="w", retry_after=250
+        )
+        lost = self.cause_of(
+            event="quota-refused", cause="unknown", workspace="w", retry_after=500
+        )
+        self.assertIn("no workspace", unknown)
+        self.assertIn("4800 ms", old)
+        self.assertIn("429", over)
+        self.assertIn("250 ms", over)
+        self.assertIn("503", lost)
+        self.assertEqual(4, len({unknown, old, over, lost}))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -16,6 +16,11 @@
     from fuchsiagap_node.core.mesh.crash_reports import CrashReports
     from fuchsiagap_node.core.mesh.door import Door
     from fuchsiagap_node.core.mesh.peers import Peers
+    from fuchsiagap_node.core.mesh.quotas import Quotas
+
+
+# Workspaces that have gauges of their own on a node.
+_MOST_WORKSPACES = 10
 
 
 def config_gauges(config: ConfigSync) -> Iterator[Gauge]:
@@ -45,6 +50,20 @@
     yield Gauge("quarantine_suspects", "", reports.quarantine.n_suspects)
 
 
+def workspace_gauges(config: ConfigSync, quotas: Quotas) -> Iterator[Gauge]:
+    """Yield the age of what is known of keys, and the workspaces asked for most."""
+    age = config.knowledge_age
+    yield Gauge("knowledge_age_ms", "", round(age) if age < float("inf") else -1.0)
+    yield Gauge("quotas_owned", "", quotas.grants.n_owned)
+    for name, rate in quotas.holdings.busiest(_MOST_WORKSPACES):
+        labels = f'workspace="{name}"'
+        yield Gauge("workspace_requests_a_second", labels, round(rate, 1))
+        yield Gauge("workspace_tokens", labels, quotas.holdings.tokens(name))
+        level = quotas.grants.level(name)
+        if level is not None:
+            yield Gauge("workspace_quota_left", labels, round(level, 1))
+
+
 def peer_gauges(peers: Peers) -> Iterator[Gauge]:
     """Yield, for each service, the servers in reach and how full they are."""
     for service in peers.services():
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -31,6 +31,7 @@
     door_gauges,
     peer_gauges,
     quarantine_gauges,
+    workspace_gauges,
 )
 from fuchsiagap_node.core.mesh.links import Links
 from fuchsiagap_node.core.mesh.load_line import load_fields
@@ -430,6 +431,7 @@
             door_gauges(self.door),
             peer_gauges(self._peers),
             quarantine_gauges(self.reports),
+            workspace_gauges(self._config, self._workspaces.quotas),
             admission_gauges(self._admission),
         )
         return Final(200, headers=kind, body=self.tell.metrics(gauges).encode())
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_workspaces.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_workspaces.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap_node.core.mesh.gauges import workspace_gauges
 from fuchsiagap_node.tests.core.mesh.test_suspension import SuspendedClock
 from fuchsiagap_standins.mesh.backend_server import Behaviour
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route, a_workspace
@@ -498,6 +499,33 @@
         self.assertEqual({503}, set(down))
         self.assertEqual(5, up[200])
 
+    def test_metrics_name_the_workspaces_asked_for_most_and_no_others(self):
+        async def main():
+            async with a_deployment() as deployment:
+                many = [
+                    a_workspace(f"w{n}", f"key-{n}", rate=9.0, burst=9.0)
+                    for n in range(14)
+                ]
+                (host,) = await self.fleet(deployment, 1, *many, first_start=True)
+                for number in range(14):
+                    for again in range(1 + number // 4):
+                        await host.send(
+                            "/read/1",
+                            f"r{number}-{again}",
+                            headers=with_key(f"key-{number}"),
+                        )
+                quotas = host.node._workspaces.quotas
+                return [
+                    gauge.labels
+                    for gauge in workspace_gauges(host.node._config, quotas)
+                    if gauge.name == "workspace_quota_left"
+                ]
+
+        labels = run_in_memory(main)
+        self.assertEqual(10, len(labels))
+        self.assertIn('workspace="w13"', labels)
+        self.assertNotIn('workspace="w0"', labels)
+
     def test_caller_that_leaves_while_it_waits_runs_nothing(self):
         async def main():
             async with a_deployment() as deployment:
--- a/packages/fuchsiagap/src/fuchsiagap/core/workspaces/grants.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/workspaces/grants.py
@@ -109,6 +109,11 @@
         wait = MS_PER_S * owned.denied / rate if rate > 0.0 else MOST_WAIT_MS
         return Grant(tokens, min(max(wait, LEAST_WAIT_MS), MOST_WAIT_MS))
 
+    @property
+    def n_owned(self) -> int:
+        """Number of workspaces whose quota this node was asked for of late."""
+        return len(self._owned)
+
     def level(self, name: str) -> float | None:
         """Return the tokens of a workspace; None if this node does not own it."""
         owned = self._owned.get(name)
--- a/packages/fuchsiagap/src/fuchsiagap/core/workspaces/holdings.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/workspaces/holdings.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass
+from heapq import nlargest
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.clock import MS_PER_S
@@ -114,9 +115,13 @@
         """Return the tokens that are held for a workspace."""
         return self._of(name).tokens
 
-    def rate(self, name: str) -> float:
-        """Return the requests a second of a workspace that come here."""
-        return self._of(name).asked * MS_PER_S / _COUNTED_MS
+    def busiest(self, most: int) -> list[tuple[str, float]]:
+        """Return the workspaces asked for most here, with requests a second."""
+        rates = {
+            name: held.asked * MS_PER_S / _COUNTED_MS
+            for name, held in self._held.items()
+        }
+        return nlargest(most, rates.items(), key=lambda item: item[1])
 
     def forget(self, now: Milliseconds) -> None:
         """Forget the workspaces without a request of late."""
