Let a node that is cut off by itself grant nothing, and say it cannot tell

Found by reading: a node that hears nobody of its data centre took itself for the owner of each quota, and answered 200 or 429 on its own (test: 200 where 503 is right). And a node whose watch had run for over 3 s counted as without the store, so the last one left of a data centre served 3 of 20. Now whoever may hand out no part owns nothing, and a node has the store while it watches it.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/quota_owners.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/quota_owners.py
@@ -21,8 +21,6 @@
 _SILENT_MS = 300.0
 # Nodes of each data centre that are asked whether it is in reach.
 _ASKED_IN_EACH = 3
-# Milliseconds for which a store that has answered shows that a host is not cut off.
-_STORE_HEARD_MS = 3_000.0
 
 
 class QuotaOwners:
@@ -34,8 +32,8 @@
         This node.
     links : callable
         Returns the links to other nodes.
-    store_age : callable
-        Returns the milliseconds since the store last answered this node.
+    has_store : callable
+        Whether the store answers this node.
     clock : Clock
         Time in milliseconds.
     """
@@ -44,12 +42,12 @@
         self,
         own: Member,
         links: Callable[[], Links],
-        store_age: Callable[[], Milliseconds],
+        has_store: Callable[[], bool],
         clock: Clock,
     ) -> None:
         self._own = own
         self._links = links
-        self._store_age = store_age
+        self._has_store = has_store
         self._clock = clock
         self._orders: dict[str, tuple[str, ...]] = {}
         self._orders_of = -1
@@ -62,13 +60,17 @@
         return self._own.node
 
     def owner(self, workspace: str) -> str | None:
-        """Return the owner of a workspace's quota, as far as this node can tell."""
+        """Return the owner of a workspace's quota; None where this node cannot tell.
+
+        One that is cut off by itself hears no node before it, as the last one would.
+        """
         order = self._order(workspace)
         owner = owner_of(order, self._is_up)
-        if owner == self._own.node:
-            # A node that is new is so known to the one that owned the quota before.
-            self._links().link_to(next((n for n in order if n != owner), owner))
-        return owner
+        if owner != self._own.node:
+            return owner
+        # A node that is new is so known to the one that owned the quota before.
+        self._links().link_to(next((n for n in order if n != owner), owner))
+        return owner if self.share() > 0.0 else None
 
     def is_first(self, workspace: str) -> bool:
         """Whether this node owns a quota also where all others are up."""
@@ -80,8 +82,7 @@
         places = self._links().by_data_centre()
         heard = {place for place, nodes in places.items() if self._hears(nodes)}
         hears_own = own not in places or own in heard
-        has_store = self._store_age() < _STORE_HEARD_MS
-        return granted_share(own, places, heard, hears_own or has_store)
+        return granted_share(own, places, heard, hears_own or self._has_store())
 
     def _hears(self, nodes: Sequence[str]) -> bool:
         """Whether one of the nodes of a data centre is up."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/workspaces.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/workspaces.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.watching.turn import Hearing
 from fuchsiagap.core.workspaces.grants import SWEEP_MS
 from fuchsiagap_node.core.mesh.knowledge_age import LOOK_MS as AGE_LOOK_MS
 from fuchsiagap_node.core.mesh.knowledge_age import KnowledgeExchange
@@ -72,7 +73,9 @@
         self.knowledge = KnowledgeExchange(
             config, links, cfg.bounds.revocation, clock, rng
         )
-        owners = QuotaOwners(own, links, lambda: config.store_age, clock)
+        owners = QuotaOwners(
+            own, links, lambda: config.hearing is Hearing.WATCHES, clock
+        )
         self.quotas = Quotas(owners, self._post, cfg.first_start, clock, teller)
         self.check = WorkspaceCheck(
             self.knowledge.is_too_old, lambda: config.knowledge_age, clock, teller
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_workspaces.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_workspaces.py
@@ -499,6 +499,23 @@
         self.assertEqual({503}, set(down))
         self.assertEqual(5, up[200])
 
+    def test_node_cut_off_by_itself_says_that_it_cannot_tell(self):
+        async def main():
+            async with a_deployment() as deployment:
+                one = a_workspace("one", "key-of-one", rate=50.0, burst=50.0)
+                here, *others = await self.fleet(deployment, 4, one, first_start=True)
+                for other in others:
+                    other.kill()
+                with_store, _ = await self.ask_at([here], 0.2, 4.0)
+                here.store.down = True
+                await trio.sleep(6.0)
+                without, _ = await self.ask_at([here], 0.5, 3.0)
+                return with_store, without
+
+        with_store, without = run_in_memory(main)
+        self.assertGreaterEqual(with_store[200], 12)
+        self.assertEqual({503}, set(without))
+
     def test_metrics_name_the_workspaces_asked_for_most_and_no_others(self):
         async def main():
             async with a_deployment() as deployment:
