Let no virtual clock jump while functions of connections are called

Trio takes a wait without any event for idle, and a virtual clock then jumps; functions called amid that wait left none. Test: 424 of 2,000 messages came before a second passed. Now such a wait returns an event that is none of trio's.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/poller.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/poller.py
@@ -21,11 +21,14 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 
 # Events of one wait, beside those that trio's own tasks wait for.
 _MOST_AT_ONCE = 64
+# Stands for functions that were called in a wait: trio takes one without any event for
+# idle, and a virtual clock then jumps.
+_CALLED = (-1, 0)
 
 
 class Poller(Protocol):
@@ -170,14 +173,20 @@
     def get_events(self, timeout: float) -> list[tuple[int, int]]:
         """Wait for events of trio's own tasks, and call functions meanwhile."""
         until = time.monotonic() + timeout
+        was_idle = True
         while True:
             events = self._epoll.poll(timeout, len(self._registered) + _MOST_AT_ONCE)
             for poller in self.pollers:
                 poller.before_calls()
             others = [event for event in events if not self._call(*event)]
+            was_idle = was_idle and not events
             timeout = until - time.monotonic()
             if others or self._runner.runq or timeout <= 0.0:
-                return others
+                return others if others or was_idle else [_CALLED]
+
+    def process_events(self, events: Iterable[tuple[int, int]]) -> None:
+        """Wake the tasks that wait for events."""
+        super().process_events([event for event in events if event != _CALLED])
 
     def _call(self, number: int, flags: int) -> bool:
         """Call what waits for a socket; False if that is one of trio's tasks."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_poller.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_poller.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from fuchsiagap_node.core.mesh.poller import make_poller
+from fuchsiagap_standins.mesh.virtual import run_on_loopback
 
 
 def a_pair():
@@ -136,3 +137,27 @@
             return trio.current_time() - started
 
         self.assertLess(trio.run(main), 0.5)
+
+    def test_virtual_clock_does_not_jump_while_functions_are_called(self):
+        async def main():
+            poller, (here, there) = make_poller(), a_pair()
+            calls = 0
+            async with trio.open_nursery() as nursery:
+
+                def echo():
+                    nonlocal calls
+                    here.recv(9)
+                    calls += 1
+                    if calls < 2_000:
+                        there.send(b"x")
+
+                nursery.start_soon(poller.run)
+                await trio.sleep(0.01)
+                poller.add(here, echo)
+                there.send(b"x")
+                # As long as messages are under way, this second does not pass.
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+            return calls
+
+        self.assertEqual(2_000, run_on_loopback(main))
