--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING, Protocol
 
-from fuchsiagap_node.core.mesh.final import PROMISES, RETRY_AFTER_MS, Final
+from fuchsiagap_node.core.mesh.final import RETRY_AFTER_MS, Final
+from fuchsiagap_node.core.mesh.keyed_request import KeyedRequest
 from fuchsiagap_node.core.mesh.over_quota import quota_refusal
 from fuchsiagap_node.core.mesh.placement import Placement
-from fuchsiagap_node.core.mesh.quotas import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,7 +23,7 @@
     from fuchsiagap_node.core.mesh.placement import OnFinal
     from fuchsiagap_node.core.mesh.placing import Placing
     from fuchsiagap_node.core.mesh.pressures import Pressures
-    from fuchsiagap_node.core.mesh.quotas import QuotaAnswer, Quotas, Waiter
+    from fuchsiagap_node.core.mesh.quotas import QuotaAnswer, Quotas
     from fuchsiagap_node.core.mesh.telling import Teller
     from fuchsiagap_node.core.mesh.workspace_check import WorkspaceCheck
 
@@ -127,7 +127,7 @@
         if caller is None:
             return self._admit(req, table.ranked(route, None), done, turn)
         ranked = table.ranked(route, caller.priority)
-        keyed = _KeyedRequest(self, caller, req, ranked, done, turn)
+        keyed = KeyedRequest(self, caller, req, ranked, done, turn)
         return keyed if keyed.start(self._quotas) else None
 
     def _admit(
@@ -162,7 +162,7 @@
         return placement
 
     def within_quota(
-        self, keyed: _KeyedRequest, done: OnFinal, waited: Milliseconds
+        self, keyed: KeyedRequest, done: OnFinal, waited: Milliseconds
     ) -> Placement | None:
         """Go on with a request that has its token."""
         try:
@@ -174,7 +174,7 @@
             done(Final(502))
             return None
 
-    def over_quota(self, keyed: _KeyedRequest, answer: QuotaAnswer) -> Final:
+    def over_quota(self, keyed: KeyedRequest, answer: QuotaAnswer) -> Final:
         """Return what the caller gets whose workspace has no token."""
         route = keyed.route.name
         cause = answer.verdict.value
@@ -219,84 +219,5 @@
         return Final(503, retry_after=retry_after)
 
 
-class _KeyedRequest:
-    """A request of a workspace, from its key to its answer.
-
-    Parameters
-    ----------
-    entry : Entry
-        Goes on with it once it has a token.
-    workspace : Workspace
-        Whose it is.
-    req : Request
-        The request.
-    route : Route
-        Its route, with the priority of the workspace.
-    done : callable
-        Told the final answer, once.
-    turn : CallerTurn
-        What its caller is owed.
-    """
-
-    __slots__ = (
-        "_began",
-        "_done",
-        "_entry",
-        "_placement",
-        "_quotas",
-        "_waiter",
-        "req",
-        "route",
-        "turn",
-        "workspace",
-    )
-
-    def __init__(
-        self,
-        entry: Entry,
-        workspace: Workspace,
-        req: Request,
-        route: Route,
-        done: OnFinal,
-        turn: CallerTurn,
-    ) -> None:
-        self._entry = entry
-        self.workspace = workspace
-        self.req = req
-        self.route = route
-        self.turn = turn
-        self._done = done
-        self._began = entry.now()
-        self._quotas: Quotas | None = None
-        self._waiter: Waiter | None = None
-        self._placement: Placement | None = None
-
-    def start(self, quotas: Quotas) -> bool:
-        """Ask for a token; return whether there is something to cancel."""
-        self._quotas = quotas
-        self._waiter = quotas.ask(self.workspace, self._decided)
-        return self._waiter is not None or self._placement is not None
-
-    def cancel(self) -> None:
-        """Give the request up: its caller has left."""
-        if self._waiter is not None:
-            self._waiter.cancel()
-        if self._placement is not None:
-            self._placement.cancel()
-
-    def _decided(self, answer: QuotaAnswer) -> None:
-        if answer.verdict is not Verdict.WITHIN:
-            self._done(self._entry.over_quota(self, answer))
-            return
-        waited = self._entry.now() - self._began
-        self._placement = self._entry.within_quota(self, self._finish, waited)
-
-    def _finish(self, final: Final) -> None:
-        """Return the token of a request that has not run, and tell the answer."""
-        if final.status in PROMISES and self._quotas is not None:
-            self._quotas.put_back(self.workspace)
-        self._done(final)
-
-
 def _no_parent(_: str) -> None:
     """Return that a request is no call."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -36,9 +36,10 @@
 from fuchsiagap_node.core.mesh.links import Links
 from fuchsiagap_node.core.mesh.load_line import load_fields
 from fuchsiagap_node.core.mesh.member_sync import MemberSync
-from fuchsiagap_node.core.mesh.messages import Hello, Status
+from fuchsiagap_node.core.mesh.messages import Hello
 from fuchsiagap_node.core.mesh.outcome import LEAVING
 from fuchsiagap_node.core.mesh.own_door import OwnDoor
+from fuchsiagap_node.core.mesh.own_status import OwnStatus
 from fuchsiagap_node.core.mesh.peers import Peers
 from fuchsiagap_node.core.mesh.placing import Placing
 from fuchsiagap_node.core.mesh.pressures import Pressures
@@ -70,11 +71,6 @@
 _LOAD_LINE_MS = 1_000.0
 # Milliseconds between two looks at whether links to other nodes are needed.
 _CHOOSE_LINKS_MS = 1_000.0
-# Steps of a server's load, from empty to full, that a status tells apart.
-_STATUS_STEPS = 4
-# Part by which the time at the server must differ from the one told for a status: the
-# mean of some hundred times that differ widely wanders by a tenth.
-_TOLD_AGAIN = 0.15
 # Milliseconds after SIGTERM for which the backend server, which may live on, still gets
 # requests: its outage is as much shorter. What it gets last has the rest to end in.
 _DOOR_OPEN_MS = 2_000.0
@@ -101,16 +97,6 @@
 _GC_YOUNG = 20_000
 
 
-def _coarse(load: int, limit: int) -> int:
-    """Return a load in steps, so that small changes send no status.
-
-    Replies carry the exact load; a status is for senders that had none of late. At
-    one status each look, idle links would carry little else.
-    """
-    step = max(limit // _STATUS_STEPS, 1)
-    return load // step * step
-
-
 class Node:
     """A node of a deployment.
 
@@ -199,17 +185,17 @@
         )
         self._links = Links(own, hello, self._peers, clock, tell, self._poller)
         self._links.on_link = self._prepare_link
+        self._own_status = OwnStatus(self.door, self._config)
         self.door.repeats.n_doors = lambda: self._links.n_beside(cfg.service) + 1
         self._members = MemberSync(
             own, self._links, store, cfg.first_start, clock, rng, tell
         )
         self._settings_fault = ""
-        self._service_ms = 0.0
         self._leaving = False
         self._is_caught_up = False
         self._alone_from = clock.now() + _CATCH_UP_MS
         self._taking = TakingLinks(
-            hello, self.door, self._status, clock, tell, self._poller
+            hello, self.door, self._own_status.now, clock, tell, self._poller
         )
         self._taking.on_hello = self._links.take_hello
         self._taking.config_text = self._config.text
@@ -286,28 +272,8 @@
         self._workspaces.adopt(stored.config)
         self._tell_status()
 
-    def _status(self) -> Status:
-        return Status(
-            self.door.instance(),
-            self.door.limit,
-            _coarse(self.door.load, self.door.limit),
-            _coarse(round(self.door.offered()), self.door.limit),
-            round(self.door.failing(), 1),
-            self.door.is_warming(),
-            self._config.revision,
-            self._config.hearing,
-            self._told_ms(),
-        )
-
-    def _told_ms(self) -> int:
-        """Return the time that requests take at the server, as it is told to others."""
-        now_ms = self.door.typical_ms
-        if abs(now_ms - self._service_ms) > _TOLD_AGAIN * self._service_ms:
-            self._service_ms = now_ms
-        return round(self._service_ms)
-
     def _tell_status(self) -> None:
-        status = self._status()
+        status = self._own_status.now()
         if not self._is_caught_up:
             # What this host's callers ask for may be held by all others.
             self._is_caught_up = self._clock.now() >= self._alone_from
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/workspaces.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/workspaces.py
@@ -6,8 +6,8 @@
 
 from fuchsiagap.core.watching.turn import Hearing
 from fuchsiagap.core.workspaces.grants import SWEEP_MS
-from fuchsiagap_node.core.mesh.knowledge_age import LOOK_MS as AGE_LOOK_MS
-from fuchsiagap_node.core.mesh.knowledge_age import KnowledgeExchange
+from fuchsiagap_node.core.mesh.knowledge_exchange import LOOK_MS as AGE_LOOK_MS
+from fuchsiagap_node.core.mesh.knowledge_exchange import KnowledgeExchange
 from fuchsiagap_node.core.mesh.quota_owners import QuotaOwners
 from fuchsiagap_node.core.mesh.quotas import LOOK_MS as QUOTA_LOOK_MS
 from fuchsiagap_node.core.mesh.quotas import Quotas
