End one connection, not the process, where its function raises

Found by reading: a function that the loop calls amid its wait, or soon after a close, took an exception of one connection out of the loop and so ended the node; with a task for each connection it ended that one, with a fault line. Now the stream guards both, logs a fault and closes the connection (test_exception_of_one_connection_ends_it_alone).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -133,6 +133,7 @@
         self._reload = reload
         self.tell = tell = Teller(cfg.node, clock)
         self._poller = poller.make_poller()
+        self._poller.on_fault = partial(tell.fault, "connection")
         self.door = Door(cfg, clock, tell, rng, self._poller)
         self._peers = Peers()
         self._pressures = Pressures(self._peers, clock)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/poller.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/poller.py
@@ -38,9 +38,12 @@
     ----------
     before_calls : callable
         Called after each wait, before any function of a connection is.
+    on_fault : callable
+        Told of an exception of a connection that nobody expected.
     """
 
     before_calls: Callable[[], None]
+    on_fault: Callable[[Exception], None]
 
     def add(self, sock: Any, on_readable: Callable[[], None]) -> None:
         """Call a function whenever a socket has something to read."""
@@ -58,12 +61,14 @@
 class EpollPoller:
     """Watches sockets by ``epoll``, level-triggered, amid trio's wait for events.
 
-    Functions that are called must not raise, and must not wait.
+    Functions that are called must not raise: that would end the loop.
 
     Attributes
     ----------
     before_calls : callable
         Called after each wait, before any function of a connection is.
+    on_fault : callable
+        Told of an exception of a connection that nobody expected.
     """
 
     def __init__(self) -> None:
@@ -71,6 +76,7 @@
         self._on_readable: dict[int, Callable[[], None]] = {}
         self._on_writable: dict[int, trio.Event] = {}
         self.before_calls: Callable[[], None] = _nothing
+        self.on_fault: Callable[[Exception], None] = _ignore
 
     def add(self, sock: socket.socket, on_readable: Callable[[], None]) -> None:
         """Call a function whenever a socket has something to read."""
@@ -209,3 +215,7 @@
 
 def _nothing() -> None:
     """Do nothing."""
+
+
+def _ignore(_: Exception) -> None:
+    """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -9,7 +9,7 @@
 import errno
 import socket
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TYPE_CHECKING, TypeAlias, TypeVar
 
 import trio
 
@@ -21,6 +21,8 @@
     from fuchsiagap.core.clock import Milliseconds
     from fuchsiagap_node.core.mesh.poller import Poller
 
+Told = TypeVar("Told")
+
 # Bytes of one read: a page of small messages, or a good part of a large body.
 READ_BYTES = 65_536
 # Connections that may wait to be accepted.
@@ -103,10 +105,10 @@
         poller : Poller
             Watches the connection.
         on_data : callable
-            Told the bytes that come; it must not raise.
+            Told the bytes that come.
         on_end : callable
-            Told once why no more come; it must not raise. Where this end closes the
-            connection, it is told soon after, not from within `close`.
+            Told once why no more come. Where this end closes the connection, it is
+            told soon after, not from within `close`.
         """
         self._check_open()
         self._poller = poller
@@ -136,7 +138,7 @@
             self._end(BrokenStream(str(exc)))
         else:
             if data:
-                self._on_data(data)
+                self._call(self._on_data, data)
             else:
                 self._end(EndedStream("closed by the other end"))
 
@@ -144,7 +146,16 @@
         """Read no more, and tell why, once."""
         self.pause()
         on_end, self._on_end = self._on_end, _ignore
-        on_end(why)
+        self._call(on_end, why)
+
+    def _call(self, told: Callable[[Told], None], what: Told) -> None:
+        """Call a function; an exception ends its connection and nothing else."""
+        try:
+            told(what)
+        except Exception as exc:
+            assert self._poller is not None
+            self._poller.on_fault(exc)
+            self.close()
 
     async def receive(self) -> bytes:
         """Wait for bytes.
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_poller.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_poller.py
@@ -6,6 +6,7 @@
 from testtools import TestCase
 
 from fuchsiagap_node.core.mesh.poller import make_poller
+from fuchsiagap_node.core.mesh.stream import Stream
 from fuchsiagap_standins.mesh.virtual import run_on_loopback
 
 
@@ -17,6 +18,14 @@
     return ends
 
 
+def a_tcp_pair():
+    """Return both ends of a connection over loopback."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        here = socket.create_connection(server.getsockname())
+        there, _ = server.accept()
+    return here, there
+
+
 class TestPoller(TestCase):
     def test_two_pollers_of_one_loop_call_each_for_its_own(self):
         # A loop in which only one of them was called spun for ever on the other's.
@@ -161,3 +170,26 @@
             return calls
 
         self.assertEqual(2_000, run_on_loopback(main))
+
+    def test_exception_of_one_connection_ends_it_alone(self):
+        # In a function that the loop calls amid its wait it would end the process.
+        async def main():
+            poller, faults, got = make_poller(), [], []
+            poller.on_fault = faults.append
+            ends = [a_tcp_pair() for _ in range(2)]
+            streams = [Stream(here) for here, _ in ends]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(poller.run)
+                await trio.sleep(0.01)
+                streams[0].read_with(poller, lambda _: 1 / 0, lambda _: 1 / 0)
+                streams[1].read_with(poller, got.append, got.append)
+                for _, there in ends:
+                    there.send(b"x")
+                await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+            return [type(exc) for exc in faults], streams[0].closed, got
+
+        faults, closed, got = trio.run(main)
+        self.assertEqual([ZeroDivisionError] * 2, faults)
+        self.assertTrue(closed)
+        self.assertEqual([b"x"], got)
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_sockets.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_sockets.py
@@ -209,6 +209,7 @@
         self._ready: dict[MemorySocket, None] = {}
         self._news = trio.Event()
         self.before_calls: Callable[[], None] = _nothing
+        self.on_fault: Callable[[Exception], None] = _ignore
 
     def add(self, sock: MemorySocket, on_readable: Callable[[], None]) -> None:
         """Call a function whenever a socket has something to read."""
@@ -324,3 +325,7 @@
 
 def _nothing() -> None:
     """Do nothing."""
+
+
+def _ignore(_: Exception) -> None:
+    """Do nothing."""
