--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/poller.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/poller.py
@@ -145,6 +145,10 @@
             flags |= select.EPOLLIN
         if number in self._on_writable:
             flags |= select.EPOLLOUT
+        if not flags:
+            # The system tells of a broken connection whatever is waited for.
+            self._epoll.unregister(number)
+            return
         try:
             # A socket on which trio has waited is known to the system still.
             self._epoll.modify(number, flags)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_poller.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_poller.py
@@ -193,3 +193,26 @@
         self.assertEqual([ZeroDivisionError] * 2, faults)
         self.assertTrue(closed)
         self.assertEqual([b"x"], got)
+
+    def test_broken_connection_that_nobody_watches_any_more_wakes_nobody(self):
+        async def main():
+            poller, (here, there) = make_poller(), a_pair()
+            turns = 0
+
+            def count():
+                nonlocal turns
+                turns += 1
+
+            poller.before_calls = count
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(poller.run)
+                await trio.sleep(0.01)
+                # It is written to, and not read.
+                await poller.wait_writable(here)
+                there.close()
+                turns = 0
+                await trio.sleep(0.1)
+                nursery.cancel_scope.cancel()
+            return turns
+
+        self.assertLess(trio.run(main), 5)
