--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -138,6 +138,7 @@
         self._base_at = clock.now()
         self._is_first_read = True
         self._is_recent = False
+        self._asked_at: Milliseconds | None = None
         # Those that have lost touch together do not ask together.
         self._ask_at = rng.uniform(*_ASK_AT_SHARES)
         self._due_since: Milliseconds | None = None
@@ -170,6 +171,11 @@
         """Milliseconds since the store last answered, or since the start."""
         return self._clock.now() - self._heard_at
 
+    @property
+    def question_age(self) -> Milliseconds:
+        """Milliseconds that the question under way waits for its answer; 0 for none."""
+        return 0.0 if self._asked_at is None else self._clock.now() - self._asked_at
+
     @property
     def knowledge_age(self) -> Milliseconds:
         """Milliseconds for which a change can have escaped this node."""
@@ -329,8 +335,9 @@
         while True:
             if self._base:
                 await self._wait_for_turn()
-            asked_at = self._clock.now()
+            asked_at = self._asked_at = self._clock.now()
             result = await self._ask_store()
+            self._asked_at = None
             match result:
                 case ConfigNews(revision, stored):
                     wait = 0.0
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -29,6 +29,7 @@
     yield Gauge("config_revision", "", config.revision)
     yield Gauge("config_adopted_age_ms", "", round(config.adopted_age))
     yield Gauge("store_heard_age_ms", "", round(config.store_age))
+    yield Gauge("store_question_age_ms", "", round(config.question_age))
     for hearing in Hearing:
         labels = f'how="{hearing.name.lower()}"'
         yield Gauge("config_hearing", labels, float(config.hearing is hearing))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -361,6 +361,11 @@
                 self.tell.fault("background", exc)
             await trio.sleep(_RESTART_MS / MS_PER_S)
 
+    @property
+    def version_in_force(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        return self._config.version
+
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
         return self.entry.table is not None and not self._leaving
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
@@ -22,6 +22,19 @@
 
 
 class TestGauges(TestCase):
+    def test_question_that_the_store_does_not_answer_shows_its_age(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                await trio.sleep(1.0)
+                early = (await metrics_of(host))["fuchsiagap_store_question_age_ms{}"]
+                await trio.sleep(2.0)
+                late = (await metrics_of(host))["fuchsiagap_store_question_age_ms{}"]
+                return late - early
+
+        self.assertAlmostEqual(2_000.0, run_in_memory(main), delta=5.0)
+
     def test_beliefs_and_their_age(self):
         async def main():
             async with a_deployment(a_route("read")) as deployment:
