--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -8,7 +8,7 @@
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -26,7 +26,7 @@
 from fuchsiagap_standins.mesh.memory_store import MemoryStore, SharedState
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Mapping, Sequence
+    from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.retries.shares import SharedBudget
@@ -172,6 +172,8 @@
     expects_faults : bool
         Whether a test brings exceptions about that nothing in the node expects; where
         it does not, one such line in a node's log fails the test.
+    make_store : callable
+        Returns the way of one node to the store; by default to `state`.
     """
 
     nursery: trio.Nursery
@@ -179,6 +181,10 @@
     known: dict[int, RouteConfig]
     hosts: list[Host] = field(default_factory=list)
     expects_faults: bool = False
+    make_store: Callable[[], Any] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.make_store = lambda: MemoryStore(self.state, self.known)
 
     def put_config(
         self,
@@ -222,7 +228,7 @@
         )
         if budget is not None:
             cfg = replace(cfg, budget=budget)
-        store = MemoryStore(self.state, self.known)
+        store = self.make_store()
         server = BackendServer(cfg.backend, f"i-{name}", names)
         rng = random.Random(len(self.hosts))
         node = Node(cfg, store, _no_reports, clock, rng=rng)
