Spread the links of a service over all other data centres

Cause: a node links to the first three nodes of a service elsewhere, in the order of rendezvous. In one of four cases among two other data centres all three stand in one; a cut there left a node without the other, and two nodes in place of one watched the store, since too few data centres were in reach.

The order now alternates between data centres. The test failed before.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/links.py
@@ -188,7 +188,7 @@
             return rendezvous_rank(own.node, member.node)
 
         ranked = sorted(self._known.values(), key=rank)
-        for member in ranked:
+        for member in _by_turns(ranked):
             near = member.data_centre == own.data_centre
             self._ranked.setdefault((member.service, near), []).append(member)
         self._by_place = {}
@@ -259,5 +259,20 @@
             link.look()
 
 
+def _by_turns(members: Iterable[Member]) -> list[Member]:
+    """Return members so that those of each service alternate between data centres.
+
+    The first few of another data centre are linked: if all stood in one, a cut there
+    would leave none.
+    """
+    n_before: Counter[tuple[str, str]] = Counter()
+    places = []
+    for member in members:
+        group = member.service, member.data_centre
+        places.append((n_before[group], member))
+        n_before[group] += 1
+    return [member for _, member in sorted(places, key=lambda place: place[0])]
+
+
 def _ignore(_: object) -> None:
     """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_links.py
@@ -53,6 +53,21 @@
         self.assertEqual(16, len(set().union(*certs)))
         self.assertEqual([200] * 6, [answer.status for answer in answers])
 
+    def test_each_other_data_centre_is_linked(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                callers = [deployment.add("bookings", "hall-c") for _ in range(8)]
+                for n in range(24):
+                    deployment.add("certs", "hall-b" if n % 2 else "hall-a")
+                await deployment.settle()
+                return [
+                    {link.member.data_centre for link in caller.node._links}
+                    for caller in callers
+                ]
+
+        for places in run_in_memory(main):
+            self.assertLessEqual({"hall-a", "hall-b"}, places)
+
     def test_node_out_of_reach_is_replaced_and_taken_back(self):
         async def main():
             async with a_deployment(READ) as deployment:
