Tell a silent store from a quiet one, and ask again within the bound

In the record no node had any version of six for 5.6 s and more.

Cause: a wait that ends later than the bound it serves. A watch asked of a silent store waited its 8 to 25 s and 2.5 s more, and nothing tells a watch that was dropped from one without news; a node whose question had just failed asked the next one as such a watch; reads waited 2.5 s and paused up to 1 s. One node of each data centre asks, so all depend on three of these.

Change: all waits for the store are shares of the bound (core/freshness/patience). A question without an answer is asked again beside the first (a slow store answers the first, one that dropped it the next); while a watch waits, the store is probed for a tenth of the price, and a watch that it may have dropped is asked again; so is one that does not tell of a version that other nodes have; a node that the store failed, or that has not heard of it of late, probes before it watches; whoever becomes first of its data centre during a pause asks as the first.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -9,8 +9,11 @@
 
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.freshness.knowledge_age import KnowledgeAge
+from fuchsiagap.core.freshness.patience import patience_within
 from fuchsiagap.core.watching.turn import Hearing, Neighbour, Turn, turn_of
 from fuchsiagap_node.core.mesh.messages import ConfigText, ConfigWanted
+from fuchsiagap_node.core.mesh.repeated_question import Heard, ask_repeatedly
+from fuchsiagap_node.core.mesh.settings import Bounds
 from fuchsiagap_node.core.mesh.store import ConfigNews, HistoryGone, StoreFailed
 
 if TYPE_CHECKING:
@@ -27,18 +30,14 @@
 _WATCHERS = 1
 _WATCHERS_ALONE = 2
 _ENOUGH_ELSEWHERE = 2
-# Milliseconds that one watch waits; each is one priced call. A store that went silent
-# and came back is noticed after at most this time by the first node of a data centre,
-# and by those beside it that watch as well.
-_FIRST_WATCH_MS = 8_000.0
+# Milliseconds that one watch waits; each is one priced call. Probes tell meanwhile
+# whether the store answers.
 _WATCH_MS = 25_000.0
-# Milliseconds between two calls while the store fails, at first and at most: soon back
-# for the first nodes of a data centre, as long as no other one is answered; all others
-# ask seldom, and not at all while one beside them watches.
-_RETRY_MS = 150.0
-_RETRY_FIRST_MAX_MS = 1_000.0
+# Milliseconds between two calls while the store fails, at first and at most, of those
+# that are not first in their data centre, and of all while one beside them watches.
 _RETRY_OTHERS_MS = 4_000.0
 _RETRY_MAX_MS = 8_000.0
+_MOST_DOUBLINGS = 8
 # Milliseconds after its start for which a node does not watch, until it has links to
 # those that may do it: where all nodes start for the first time, they have to find each
 # other before.
@@ -63,6 +62,9 @@
 _ASK_AGAIN_MS = 600.0
 
 
+_USUAL_BOUNDS = Bounds()
+
+
 class _Cause(Enum):
     """Why the store is asked for the configuration."""
 
@@ -70,6 +72,7 @@
     WATCH = "watch"
     TAKE_OVER = "take-over"
     HISTORY_GONE = "history-gone"
+    LIVENESS = "liveness"
 
 
 class ConfigSync:
@@ -93,8 +96,8 @@
         Spreads whom of the others is asked, and when.
     first_start : bool
         Whether the whole system starts for the first time.
-    revocation : float or None
-        Bound of revocations; None where nodes out of touch go on with what they know.
+    bounds : Bounds
+        Times within which changes and revocations have to be in force.
 
     Attributes
     ----------
@@ -118,10 +121,11 @@
         links: Callable[[], Iterable[SendingLink]],
         rng: random.Random,
         first_start: bool = False,
-        revocation: Milliseconds | None = None,
+        bounds: Bounds = _USUAL_BOUNDS,
     ) -> None:
         self._store = store
-        self._bound = revocation
+        self._bound = bounds.revocation
+        self._patience = patience_within(bounds.change)
         self._clock = clock
         self._tell = teller
         self._adopt = adopt
@@ -143,6 +147,9 @@
         self._ask_at = rng.uniform(*_ASK_AT_SHARES)
         self._due_since: Milliseconds | None = None
         self._may_ask_now = trio.Event()
+        # Whether the store did not answer the last question.
+        self._is_lost = False
+        self._watch_scope: trio.CancelScope | None = None
         self._asking_others = False
         # Set at the next adoption.
         self._adopted = trio.Event()
@@ -228,6 +235,8 @@
             self._tell.event("config-unreadable", source=source)
             return
         self.take(stored, source)
+        if self.nursery is not None and self._watch_scope is not None:
+            self.nursery.start_soon(self._doubt_watch, self._watch_scope)
 
     def peer_has(self, link: SendingLink) -> None:
         """Ask for the configuration where another node has a newer one."""
@@ -303,8 +312,11 @@
         patience = turn.patience(self._n_watchers())
         if now < max(self._due_since + patience, self._settled_at):
             return
-        is_deaf = self.hearing is Hearing.DEAF
-        if is_deaf and turn.others_watch and not turn.is_first(self._n_watchers()):
+        if (
+            self._is_lost
+            and turn.others_watch
+            and not turn.is_first(self._n_watchers())
+        ):
             return
         self._may_ask_now.set()
 
@@ -331,7 +343,7 @@
 
     async def run(self) -> None:
         """Ask the store whenever it is this node's turn, until cancelled."""
-        wait: Milliseconds = 0.0
+        n_failed = 0
         while True:
             if self._base:
                 await self._wait_for_turn()
@@ -340,7 +352,7 @@
             self._asked_at = None
             match result:
                 case ConfigNews(revision, stored):
-                    wait = 0.0
+                    n_failed = 0
                     self._hear(revision)
                     if stored is not None:
                         self.take(stored, "store")
@@ -350,40 +362,70 @@
                 case HistoryGone():
                     self._tell.event("history-gone", what="configuration")
                     self._base = 0
-                    await trio.sleep(_RETRY_MS / MS_PER_S)
+                    await trio.sleep(self._patience.pause / MS_PER_S)
                 case StoreFailed(reason):
-                    if self.hearing is not Hearing.DEAF:
-                        self._tell.event(
-                            "store-lost", what="configuration", cause=reason
-                        )
-                    self._set_hearing(Hearing.DEAF)
-                    wait = self._retry_after(wait)
-                    await trio.sleep(wait / MS_PER_S)
+                    self._lose_store(reason)
+                    # One that was silent has been waited for already.
+                    was_silent = self._clock.now() - asked_at > self._patience.again
+                    n_failed += 1
+                    await self._pause(n_failed, was_silent)
+
+    def _lose_store(self, reason: str) -> None:
+        """Note that the store does not answer."""
+        if not self._is_lost:
+            self._tell.event("store-lost", what="configuration", cause=reason)
+        self._is_lost = True
+        self._set_hearing(Hearing.DEAF)
 
     def _hear(self, revision: int) -> None:
         """Note that the store has answered, and at which revision."""
         self._heard_at = self._clock.now()
         self._is_first_read = False
-        if self.hearing is Hearing.DEAF:
+        if self._is_lost:
             self._tell.event("store-regained", what="configuration")
+        self._is_lost = False
         if self._turn().is_due:
             self._set_hearing(Hearing.WATCHES)
         self._base = 0
         self._note_base(max(revision, self.revision))
 
-    def _retry_after(self, last: Milliseconds) -> Milliseconds:
-        """Return how long to wait after a failure, and after a wait of `last` ms."""
+    async def _pause(self, n_failed: int, was_silent: bool) -> None:
+        """Wait until the store that failed is to be asked again.
+
+        Whoever becomes first of its data centre meanwhile asks as soon as the first.
+        """
+        started = self._clock.now()
+        spread = self._rng.uniform(0.5, 1.0)
+        while True:
+            wait = self._retry_after(n_failed, was_silent, spread)
+            left = started + wait - self._clock.now()
+            if left <= 0.0:
+                return
+            await trio.sleep(min(left, LOOK_MS) / MS_PER_S)
+
+    def _retry_after(
+        self, n_failed: int, was_silent: bool, spread: float
+    ) -> Milliseconds:
+        """Return how long to wait after some failures in a row.
+
+        A question to a silent store has been repeated already while it waited.
+        """
         turn = self._turn()
-        is_first = turn.is_first(self._n_watchers())
         if turn.others_watch:
-            return _RETRY_MAX_MS * self._rng.uniform(0.5, 1.0)
-        if is_first:
-            return min(max(2.0 * last, _RETRY_MS), _RETRY_FIRST_MAX_MS)
-        return min(max(2.0 * last, _RETRY_OTHERS_MS), _RETRY_MAX_MS)
+            return _RETRY_MAX_MS * spread
+        doubled = 2.0 ** min(n_failed - 1, _MOST_DOUBLINGS)
+        if turn.is_first(self._n_watchers()):
+            longest = self._patience.most_pause
+            return 0.0 if was_silent else min(self._patience.pause * doubled, longest)
+        return min(_RETRY_OTHERS_MS * doubled, _RETRY_MAX_MS) * spread
 
     async def _ask_store(self) -> ConfigResult:
         """Read the configuration, or wait for the next one."""
         self._is_recent = True
+        # A watch that a silent store drops would hide for long that it is back.
+        is_doubtful = self._is_lost or self.store_age > self._patience.probe
+        if is_doubtful and (lost := (await self._probe()).result) is not None:
+            return lost
         if self._is_first_read and not self._base and self._bound is None:
             # One that may be seconds old is a tenth of the price. A newer one comes on
             # the links, or with the first watch from this one on.
@@ -395,9 +437,62 @@
             return await self._read(_Cause.HISTORY_GONE, recent=True)
         if self._clock.now() - self._base_at > _GOOD_BASE_MS:
             return await self._read(_Cause.TAKE_OVER, recent=True)
-        watch = self._watch_ms()
-        self._tell.store_call("config-watch", _Cause.WATCH.value)
-        return await self._store.watch_config(self._base, watch)
+        return await self._watch()
+
+    async def _watch(self) -> ConfigResult:
+        """Wait for the next configuration as long as the store answers probes."""
+        while (result := await self._watch_once()) is None:
+            self._tell.event("watch-restarted", what="configuration", base=self._base)
+        return result
+
+    async def _watch_once(self) -> ConfigResult | None:
+        """Return what a watch gave; None if the store may have dropped it."""
+        results: list[ConfigResult] = []
+        async with trio.open_nursery() as nursery:
+            self._watch_scope = nursery.cancel_scope
+            nursery.start_soon(self._probe_until_lost, results, nursery.cancel_scope)
+            self._tell.store_call("config-watch", _Cause.WATCH.value)
+            results.append(await self._store.watch_config(self._base, self._watch_ms()))
+            nursery.cancel_scope.cancel()
+        self._watch_scope = None
+        return results[0] if results else None
+
+    async def _probe_until_lost(
+        self, results: list[ConfigResult], watch_scope: trio.CancelScope
+    ) -> None:
+        """End a watch once the store is lost, or may have dropped it.
+
+        One change wakes all that watch; they do not probe at the same moments for that.
+        """
+        wait = self._patience.probe * self._rng.random()
+        is_sound = True
+        while is_sound:
+            await trio.sleep(wait / MS_PER_S)
+            wait = self._patience.probe
+            if not self._turn().is_due:
+                continue
+            heard = await self._probe()
+            if heard.result is not None:
+                results.append(heard.result)
+            is_sound = heard.result is None and not heard.n_unanswered
+        watch_scope.cancel()
+
+    async def _doubt_watch(self, watch_scope: trio.CancelScope) -> None:
+        """End a watch that does not tell of a version which other nodes have."""
+        await trio.sleep(self._patience.again / MS_PER_S)
+        watch_scope.cancel()
+
+    async def _probe(self) -> Heard[StoreFailed | None]:
+        """Ask the store whether it answers, again and again while it does not."""
+
+        async def ask() -> StoreFailed | None:
+            self._tell.store_call("probe", _Cause.LIVENESS.value)
+            return await self._store.probe(self._own.node)
+
+        return await ask_repeatedly(ask, self._patience.again, self._suspect_store)
+
+    def _suspect_store(self) -> None:
+        self._lose_store("silent")
 
     def _watch_ms(self) -> Milliseconds:
         """Return how long a watch waits.
@@ -406,12 +501,17 @@
         """
         if self._bound is not None:
             return self._bound * _WATCH_SHARE
-        return _FIRST_WATCH_MS if self._turn().is_first(_WATCHERS) else _WATCH_MS
+        return _WATCH_MS
 
     async def _read(self, cause: _Cause, recent: bool) -> ConfigResult:
         kind = "config-read" if recent else "config-read-older"
-        self._tell.store_call(kind, cause.value)
-        return await self._store.read_config(recent)
+
+        async def ask() -> ConfigResult:
+            self._tell.store_call(kind, cause.value)
+            return await self._store.read_config(recent)
+
+        every = self._patience.again
+        return (await ask_repeatedly(ask, every, self._suspect_store)).result
 
 
 def _ignore() -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_call.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_call.py
@@ -1,4 +1,4 @@
-"""One HTTP call after the other on a kept connection, for calls beside the path."""
+"""HTTP calls beside the path, on a connection that is kept between two of them."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class HttpCaller:
-    """A client for one server.
+    """A client for one server; calls at the same time use connections of their own.
 
     Parameters
     ----------
@@ -36,7 +36,7 @@
     def __init__(self, address: str, names: HeaderNames) -> None:
         self._address = address
         self._names = names
-        self._stream: Stream | None = None
+        self._idle: Stream | None = None
 
     async def call(
         self, method: str, target: str, body: bytes, wait: Milliseconds
@@ -57,26 +57,40 @@
         CallFailed
             Without a whole answer in time.
         """
-        answer: Answer | None = None
         with trio.move_on_after(wait / MS_PER_S):
             try:
-                answer = await self._call(method, target, body)
+                return await self._call(method, target, body)
             except (BrokenStream, BadAnswer) as exc:
-                self.close()
                 raise CallFailed(f"{method} {target}: {exc}") from exc
-        if answer is None:
-            self.close()
-            raise CallFailed(f"{method} {target}: no answer within {wait:.0f} ms")
-        if not answer.keep_alive:
-            self.close()
-        return answer
+        raise CallFailed(f"{method} {target}: no answer within {wait:.0f} ms")
 
     async def _call(self, method: str, target: str, body: bytes) -> Answer:
-        stream = self._stream
-        if stream is None or not stream.is_quiet():
-            self.close()
-            stream = self._stream = await dial(self._address, _DIAL_MS)
-            stream.probe_when_silent()
+        stream = await self._connect()
+        is_reusable = False
+        try:
+            answer = await self._exchange(stream, method, target, body)
+            is_reusable = answer.keep_alive and self._idle is None
+        finally:
+            if is_reusable:
+                self._idle = stream
+            else:
+                stream.close()
+        return answer
+
+    async def _connect(self) -> Stream:
+        """Return a connection on which nothing is under way."""
+        stream, self._idle = self._idle, None
+        if stream is not None and stream.is_quiet():
+            return stream
+        if stream is not None:
+            stream.close()
+        stream = await dial(self._address, _DIAL_MS)
+        stream.probe_when_silent()
+        return stream
+
+    async def _exchange(
+        self, stream: Stream, method: str, target: str, body: bytes
+    ) -> Answer:
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
         if body:
             lines.append("Content-Type: application/json")
@@ -93,7 +107,7 @@
                 raise BadAnswer("the connection ended without an answer")
 
     def close(self) -> None:
-        """Close the connection, if there is one."""
-        if self._stream is not None:
-            self._stream.close()
-            self._stream = None
+        """Close the connection that is kept, if there is one."""
+        if self._idle is not None:
+            self._idle.close()
+            self._idle = None
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -164,7 +164,7 @@
             lambda: self._links,
             rng,
             cfg.first_start,
-            cfg.bounds.revocation,
+            cfg.bounds,
         )
         self._workspaces = Workspaces(
             cfg, own, self._config, lambda: self._links, clock, rng, tell
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/repeated_question.py
@@ -0,0 +1,71 @@
+"""Asks a question again while it has no answer, without giving up on the first."""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING, Generic, NamedTuple, TypeVar
+
+import trio
+
+from fuchsiagap.core.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from fuchsiagap.core.clock import Milliseconds
+
+Result = TypeVar("Result")
+
+
+class Heard(NamedTuple, Generic[Result]):
+    """What came first.
+
+    Parameters
+    ----------
+    result : object
+        The result.
+    n_unanswered : int
+        Questions asked before the one that it answers.
+    """
+
+    result: Result
+    n_unanswered: int
+
+
+async def ask_repeatedly(
+    ask: Callable[[], Awaitable[Result]],
+    every: Milliseconds,
+    on_silence: Callable[[], None],
+) -> Heard[Result]:
+    """Return the first result of a question that is asked again and again.
+
+    A store that answers slowly answers the first one, and one that has dropped what was
+    asked while it was silent answers the first that it gets afterwards.
+
+    Parameters
+    ----------
+    ask : callable
+        Asks once; ends by itself.
+    every : float
+        Milliseconds between two questions.
+    on_silence : callable
+        Told that a second question has no answer either.
+    """
+    heard: list[Heard[Result]] = []
+    answered = trio.Event()
+
+    async def ask_one(number: int) -> None:
+        heard.append(Heard(await ask(), number))
+        answered.set()
+
+    async with trio.open_nursery() as nursery:
+        for number in count():
+            if number == 2:
+                on_silence()
+            nursery.start_soon(ask_one, number)
+            with trio.move_on_after(every / MS_PER_S):
+                await answered.wait()
+            if answered.is_set():
+                break
+        nursery.cancel_scope.cancel()
+    return heard[0]
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
@@ -50,6 +50,8 @@
         From the acknowledgement of a leaving until the last request at the server.
     heartbeat : float
         Between two heartbeats of a backend server.
+    change : float
+        From the acknowledgement of a configuration until it is in force.
     revocation : float or None
         From the acknowledgement of a configuration that takes an API key away until no
         node, in touch or not, lets a request with it in; None where nodes out of touch
@@ -59,6 +61,7 @@
     stop: Milliseconds = 6_000.0
     drain: Milliseconds = 2_000.0
     heartbeat: Milliseconds = 1_500.0
+    change: Milliseconds = 2_000.0
     revocation: Milliseconds | None = None
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
@@ -96,6 +96,9 @@
     async def watch_config(self, revision: int, wait: Milliseconds) -> ConfigResult:
         """Wait for a change of the configuration after a revision."""
 
+    async def probe(self, node: str) -> StoreFailed | None:
+        """Ask the cheapest question there is; None if it was answered."""
+
     def decode_config(self, revision: int, text: bytes) -> StoredConfig | None:
         """Return a configuration that another node sent; None if it is none."""
 
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -172,6 +172,8 @@
     expects_faults : bool
         Whether a test brings exceptions about that nothing in the node expects; where
         it does not, one such line in a node's log fails the test.
+    first_seed : int
+        Seed of the first node; each later one has the next.
     make_store : callable
         Returns the way of one node to the store; by default to `state`.
     """
@@ -181,6 +183,7 @@
     known: dict[int, RouteConfig]
     hosts: list[Host] = field(default_factory=list)
     expects_faults: bool = False
+    first_seed: int = 0
     make_store: Callable[[], Any] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -230,7 +233,7 @@
             cfg = replace(cfg, budget=budget)
         store = self.make_store()
         server = BackendServer(cfg.backend, f"i-{name}", names)
-        rng = random.Random(len(self.hosts))
+        rng = random.Random(self.first_seed + len(self.hosts))
         node = Node(cfg, store, _no_reports, clock, rng=rng)
         host = Host(node, server, store, slots)
         self.hosts.append(host)
@@ -241,7 +244,7 @@
     def restart(self, host: Host) -> Host:
         """Kill a node and start it again at its addresses, beside the same server."""
         host.kill()
-        rng = random.Random(len(self.hosts))
+        rng = random.Random(self.first_seed + len(self.hosts))
         node = Node(host.node.cfg, host.store, _no_reports, rng=rng)
         again = Host(node, host.server, host.store, host.slots, sequence=host.sequence)
         self.hosts.append(again)
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
@@ -131,6 +131,11 @@
                 await state.news.wait()
         return ConfigNews(max(revision, 1), None)
 
+    async def probe(self, node: str) -> StoreFailed | None:
+        """Ask for the entry of a node."""
+        await trio.lowlevel.checkpoint()
+        return self._call(0.1)
+
     def decode_config(self, revision: int, text: bytes) -> StoredConfig | None:
         """Return a configuration that another node sent; None if it is none."""
         config = self._known.get(int(text))
