Find other nodes and be found within the bound after a silence of the store

Lists are repeated beside one without an answer; a node without any link lists again after a quarter of the bound at most, all others after 6 s as before; an announcement that fails is followed by probes, at a tenth of the price, until the store answers.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -12,15 +12,17 @@
 from fuchsiagap.core.freshness.patience import patience_within
 from fuchsiagap.core.watching.turn import Hearing, Neighbour, Turn, turn_of
 from fuchsiagap_node.core.mesh.messages import ConfigText, ConfigWanted
-from fuchsiagap_node.core.mesh.repeated_question import Heard, ask_repeatedly
+from fuchsiagap_node.core.mesh.repeated_question import ask_repeatedly
 from fuchsiagap_node.core.mesh.settings import Bounds
 from fuchsiagap_node.core.mesh.store import ConfigNews, HistoryGone, StoreFailed
+from fuchsiagap_node.core.mesh.store_probe import StoreProbe
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Collection, Iterable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.repeated_question import Heard
     from fuchsiagap_node.core.mesh.sending import Member, SendingLink
     from fuchsiagap_node.core.mesh.store import ConfigResult, Store, StoredConfig
     from fuchsiagap_node.core.mesh.telling import Teller
@@ -72,7 +74,6 @@
     WATCH = "watch"
     TAKE_OVER = "take-over"
     HISTORY_GONE = "history-gone"
-    LIVENESS = "liveness"
 
 
 class ConfigSync:
@@ -126,6 +127,7 @@
         self._store = store
         self._bound = bounds.revocation
         self._patience = patience_within(bounds.change)
+        self._store_probe = StoreProbe(store, own.node, self._patience, teller)
         self._clock = clock
         self._tell = teller
         self._adopt = adopt
@@ -483,13 +485,7 @@
         watch_scope.cancel()
 
     async def _probe(self) -> Heard[StoreFailed | None]:
-        """Ask the store whether it answers, again and again while it does not."""
-
-        async def ask() -> StoreFailed | None:
-            self._tell.store_call("probe", _Cause.LIVENESS.value)
-            return await self._store.probe(self._own.node)
-
-        return await ask_repeatedly(ask, self._patience.again, self._suspect_store)
+        return await self._store_probe.ask("liveness", self._suspect_store)
 
     def _suspect_store(self) -> None:
         self._lose_store("silent")
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -7,7 +7,10 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap.core.freshness.patience import patience_within
+from fuchsiagap_node.core.mesh.repeated_question import ask_repeatedly
 from fuchsiagap_node.core.mesh.store import Members
+from fuchsiagap_node.core.mesh.store_probe import StoreProbe
 
 if TYPE_CHECKING:
     import random
@@ -16,7 +19,8 @@
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.links import Links
     from fuchsiagap_node.core.mesh.sending import Member
-    from fuchsiagap_node.core.mesh.store import Store
+    from fuchsiagap_node.core.mesh.settings import MeshSettings
+    from fuchsiagap_node.core.mesh.store import MembersResult, Store
     from fuchsiagap_node.core.mesh.telling import Teller
 
 # Milliseconds between two lists, at least, and for each node that is listed; give or
@@ -44,11 +48,11 @@
 # the others find it removed at their next. A fixed share of them, one in five, was 39
 # calls for each lost node among 195.
 _REMOVERS = 3.0
-# Milliseconds between two calls while the store fails, at first and at most: soon back
-# for a node that is to be known; one that only follows the list has its links.
-_RETRY_MS = 200.0
-_RETRY_MAX_MS = 1_500.0
+# Milliseconds between two lists while the store fails, at most, for a node that has
+# links; one that has none cannot serve without.
 _RETRY_LIST_MAX_MS = 6_000.0
+# Milliseconds that an announcement waits for its answer, at most.
+_ANNOUNCE_MS = 2_500.0
 
 
 class MemberSync:
@@ -62,8 +66,8 @@
         Told which nodes there are.
     store : Store
         The platform's store.
-    first_start : bool
-        Whether the whole system starts for the first time, so that the store knows
+    cfg : MeshSettings
+        Settings. Where the whole system starts for the first time, the store knows
         nothing of this node yet.
     clock : Clock
         Time in milliseconds.
@@ -78,7 +82,7 @@
         own: Member,
         links: Links,
         store: Store,
-        first_start: bool,
+        cfg: MeshSettings,
         clock: Clock,
         rng: random.Random,
         teller: Teller,
@@ -86,7 +90,9 @@
         self._own = own
         self._links = links
         self._store = store
-        self._first_start = first_start
+        self._first_start = cfg.first_start
+        self._patience = patience_within(cfg.bounds.change)
+        self._probe = StoreProbe(store, own.node, self._patience, teller)
         self._clock = clock
         self._rng = rng
         self._tell = teller
@@ -154,11 +160,15 @@
 
     async def _list(self, cause: str) -> Mapping[str, Member]:
         """Follow a list of all nodes, however long it takes to get one."""
-        wait: Milliseconds = _RETRY_MS
+        wait = self._patience.pause
         failing = False
-        while True:
+
+        async def ask() -> MembersResult:
             self._tell.store_call("member-list-older", cause)
-            result = await self._store.read_members(recent=False)
+            return await self._store.read_members(recent=False)
+
+        while True:
+            result = (await ask_repeatedly(ask, self._patience.again, _ignore)).result
             if isinstance(result, Members):
                 if failing:
                     self._tell.event("store-regained", what="members")
@@ -172,23 +182,33 @@
                 self._tell.event("store-lost", what="members", cause=result.reason)
             failing = True
             await trio.sleep(wait / MS_PER_S)
-            wait = min(2.0 * wait, _RETRY_LIST_MAX_MS)
+            is_alone = not any(link.is_heard() for link in self._links)
+            longest = self._patience.most_pause if is_alone else _RETRY_LIST_MAX_MS
+            wait = min(2.0 * wait, longest)
 
     async def _announce(self, cause: str) -> None:
-        wait: Milliseconds = _RETRY_MS
-        while True:
-            self._tell.store_call("member-announce", cause)
-            failed = await self._store.announce(self._own)
-            if failed is None:
-                break
-            self._tell.event("announce-failed", cause=failed.reason)
-            await trio.sleep(wait / MS_PER_S)
-            wait = min(2.0 * wait, _RETRY_MAX_MS)
+        wait = 2.0 * self._patience.again
+        while (failed := await self._announce_once(cause, wait)) is not None:
+            self._tell.event("announce-failed", cause=failed)
+            wait = min(2.0 * wait, _ANNOUNCE_MS)
+            await self._probe.wait_for_answer("announce")
         self._announced_at = self._clock.now()
 
+    async def _announce_once(self, cause: str, wait: Milliseconds) -> str | None:
+        """Return why the store has not taken the announcement; None if it has."""
+        self._tell.store_call("member-announce", cause)
+        with trio.move_on_after(wait / MS_PER_S):
+            failed = await self._store.announce(self._own)
+            return None if failed is None else failed.reason
+        return f"no answer within {wait:.0f} ms"
+
     async def withdraw(self) -> None:
         """Take this node out of the store, once."""
         self._tell.store_call("member-remove", "stop")
         failed = await self._store.withdraw(self._own.node)
         if failed is not None:
             self._tell.event("withdraw-failed", cause=failed.reason)
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -188,9 +188,7 @@
         self._links.on_link = self._prepare_link
         self._own_status = OwnStatus(self.door, self._config)
         self.door.repeats.n_doors = lambda: self._links.n_beside(cfg.service) + 1
-        self._members = MemberSync(
-            own, self._links, store, cfg.first_start, clock, rng, tell
-        )
+        self._members = MemberSync(own, self._links, store, cfg, clock, rng, tell)
         self._settings_fault = ""
         self._leaving = False
         self._is_caught_up = False
