--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -357,12 +357,15 @@
                     n_failed = 0
                     self._hear(revision)
                     if stored is not None:
+                        self._check_order(stored)
                         self.take(stored, "store")
                     if self._is_recent:
                         newest = 0 if stored is None else stored.revision
                         self.confirm(newest, asked_at)
                 case HistoryGone():
-                    self._tell.event("history-gone", what="configuration")
+                    self._tell.event(
+                        "history-gone", what="configuration", base=self._base
+                    )
                     self._base = 0
                     await trio.sleep(self._patience.pause / MS_PER_S)
                 case StoreFailed(reason):
@@ -372,6 +375,17 @@
                     n_failed += 1
                     await self._pause(n_failed, was_silent)
 
+    def _check_order(self, stored: StoredConfig) -> None:
+        """Tell of a store whose newest configuration is older than the one in force."""
+        if stored.revision < self.revision and self._is_recent:
+            self._tell.event(
+                "store-behind",
+                version=stored.config.version,
+                revision=stored.revision,
+                in_force=self.version,
+                in_force_revision=self.revision,
+            )
+
     def _lose_store(self, reason: str) -> None:
         """Note that the store does not answer."""
         if not self._is_lost:
