Order configurations by version, and tell epochs of the store apart

In the record three versions are in force nowhere for up to 4.2 s, until the fourth has a higher revision than the last one before the store came back; 20 calls a second meanwhile.

Cause: a revision was taken for an order and a place that hold for ever. After a return from a copy revisions go back and are given out again: versions with a lower revision were refused, on links too; the base of a watch never went down, so each watch got 410, a read, and the same base; knowledge with an age was confirmed by any revision below the one in force; and what nodes had written (entries) or removed was believed to stand.

Change: one object says what a node knows of the store (core/freshness/store_view): epoch, cursor within it, newest version there. Versions alone order configurations, in force and on links; a cursor is void in another epoch, which each answer and probe tells; an answer of an older epoch, without one, or a revision that goes back lead to one read, a broken epoch is a failure. Knowledge is confirmed by the very version in force only, and by a store that has come back only once it has had 0.3 of the bound of revocations to be written again. Nodes tell each other the epoch; each then looks for its entry once, within a second, and writes it again if it is gone. A store that forgets its history is read with a pause that doubles. Nodes of the release before are not linked (protocol 2 in Hello): they would take versions for revisions. ConfigSync is split by job.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -12,11 +12,13 @@
 
 import cbor2
 
+from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.fingerprint import FINGERPRINT_BYTES
 from fuchsiagap.core.quarantine.quarantine import Crash, Held
 from fuchsiagap.core.watching.turn import Hearing
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
+    PROTOCOL,
     Age,
     AgeWanted,
     Below,
@@ -43,6 +45,8 @@
 # where a fraction takes 9, and most of a reply is its head.
 _PARTS_OF_A_PLACE = 10
 
+# Where the protocol stands among the fields of a `Hello`, at its end.
+_PROTOCOL_AT = 6
 _HELLO, _STATUS, _CALL, _CANCEL, _PING, _PONG, _WANTED, _CONFIG = range(8)
 _CRASH, _HELD = 8, 9
 _ANSWERED, _NOT_RUN, _MAY_HAVE_RUN = range(10, 13)
@@ -92,9 +96,10 @@
                 m.offered,
                 m.failing,
                 m.warming,
-                m.revision,
+                m.version,
                 int(m.hearing),
                 m.service_ms,
+                m.epoch,
             ]
         case Cancel(call_id):
             return [_CANCEL, call_id]
@@ -111,11 +116,12 @@
                 m.data_centre,
                 m.service,
                 m.packed,
+                m.protocol,
             ]
         case ConfigWanted():
             return [_WANTED]
-        case ConfigText(revision, text):
-            return [_CONFIG, revision, text]
+        case ConfigText(epoch, revision, text):
+            return [_CONFIG, epoch, revision, text]
         case Crash(incarnation, service, age, fingerprints):
             return [_CRASH, incarnation, service, age, b"".join(sorted(fingerprints))]
         case Held(fingerprint, service, crashes, age):
@@ -124,8 +130,8 @@
             return [_CLEARED, b"".join(fingerprints)]
         case AgeWanted(question):
             return [_AGE_WANTED, question]
-        case Age(question, revision, age):
-            return [_AGE, question, revision, age]
+        case Age(question, version, age):
+            return [_AGE, question, version, age]
         case TokensWanted(question, workspace, tokens):
             return [_TOKENS_WANTED, question, workspace, tokens]
         case TokensGranted(question, workspace, tokens, wait, is_owner):
@@ -162,6 +168,8 @@
 
 
 def _message(kind: int, rest: list[object]) -> Message:
+    if kind == _HELLO and rest[_PROTOCOL_AT:] != [PROTOCOL]:
+        raise ValueError(f"protocol {rest[_PROTOCOL_AT:]} where {PROTOCOL} is spoken")
     _check_types(kind, rest)
     if kind in _REPORTS:
         return _report(kind, rest)
@@ -184,13 +192,28 @@
         return replace(message, hearing=Hearing(message.hearing))
     if isinstance(message, Call):
         _check_call(message)
+    elif isinstance(message, ConfigText):
+        _check_place(message)
     elif isinstance(message, Age):
+        _check_version(message.version)
         _check_age(message.age)
     elif isinstance(message, TokensWanted | TokensGranted):
         _check_tokens(message)
     return message
 
 
+def _check_place(config: ConfigText) -> None:
+    """Raise `ValueError` where a number could be no place in a store's history."""
+    if not (NO_EPOCH <= config.epoch < _MOST and 0 <= config.revision < _MOST):
+        raise ValueError(f"no place: {config.epoch}, {config.revision}")
+
+
+def _check_version(version: int) -> None:
+    """Raise `ValueError` unless a number may be a version."""
+    if not 0 <= version < _MOST:
+        raise ValueError(f"version out of range: {version}")
+
+
 def _check_call(call: Call) -> None:
     """Raise `ValueError` where a field would make no sense to whoever uses it."""
     if not -_MOST < call.left < _MOST:
@@ -263,8 +286,9 @@
         and 0 <= status.load < _MOST
         and 0 <= status.offered < _MOST
         and 0 <= status.failing <= 1
-        and 0 <= status.revision < _MOST
+        and 0 <= status.version < _MOST
         and 0 <= status.service_ms < _MOST
+        and NO_EPOCH <= status.epoch < _MOST
     ):
         raise ValueError(f"a number is out of range: {status}")
 
@@ -277,8 +301,8 @@
 # Types that each field of a message may have, by its kind. A truth value is no number,
 # so exact types are compared.
 _TYPES: dict[int, tuple[tuple[type, ...], ...]] = {
-    _HELLO: (*5 * (_TEXT,), _TRUTH),
-    _STATUS: (_TEXT, _WHOLE, _WHOLE, _NUMBER, _NUMBER, _TRUTH, *3 * (_WHOLE,)),
+    _HELLO: (*5 * (_TEXT,), _TRUTH, _WHOLE),
+    _STATUS: (_TEXT, _WHOLE, _WHOLE, _NUMBER, _NUMBER, _TRUTH, *4 * (_WHOLE,)),
     _CALL: (
         *(_WHOLE, _TEXT, _BYTES, _BYTES, _NUMBER, _WHOLE, _WHOLE),
         *3 * (_TRUTH,),
@@ -291,7 +315,7 @@
     _PING: (),
     _PONG: (),
     _WANTED: (),
-    _CONFIG: (_WHOLE, _BYTES),
+    _CONFIG: (_WHOLE, _WHOLE, _BYTES),
     _CRASH: (_TEXT, _TEXT, _NUMBER, _BYTES),
     _HELD: (_BYTES, _TEXT, _WHOLE, _NUMBER),
     _CLEARED: (_BYTES,),
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/knowledge_exchange.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/knowledge_exchange.py
@@ -67,14 +67,14 @@
         """Whether a key that this node knows may have been taken away too long ago."""
         if self._bound is None:
             return False
-        return self._config.knowledge_age > self._bound * (1.0 - _MARGIN)
+        return self._config.in_force.knowledge_age > self._bound * (1.0 - _MARGIN)
 
     def look(self) -> None:
         """Ask others if the own knowledge is getting old."""
         if self._bound is None:
             return
         now = self._clock.now()
-        age = self._config.knowledge_age
+        age = self._config.in_force.knowledge_age
         if age < self._bound * _ASK_AT:
             return
         self._asked = {
@@ -93,9 +93,9 @@
 
     def ask_new(self, link: SendingLink) -> None:
         """Ask a node that has just been linked, if the own knowledge is old."""
-        if self._bound is None or not self._config.revision:
+        if self._bound is None or not self._config.in_force.version:
             return
-        if self._config.knowledge_age > self._bound * _URGENT_AT:
+        if self._config.in_force.knowledge_age > self._bound * _URGENT_AT:
             self._ask(link)
 
     def _ask(self, link: SendingLink) -> None:
@@ -105,10 +105,10 @@
 
     def answer(self, question: AgeWanted) -> Age | None:
         """Return the answer to another node; None before anything is known."""
-        age = self._config.knowledge_age
+        age = self._config.in_force.knowledge_age
         if age == float("inf"):
             return None
-        return Age(question.question, self._config.revision, max(age, 0.0))
+        return Age(question.question, self._config.in_force.version, max(age, 0.0))
 
     def take_answer(self, answer: Age, node: str) -> None:
         """Take in what another node has answered.
@@ -122,4 +122,4 @@
         now = self._clock.now()
         as_of = asked_at - answer.age
         self._sources.record(node, now - as_of, now)
-        self._config.confirm(answer.revision, as_of)
+        self._config.in_force.confirm(answer.version, as_of)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -51,6 +51,9 @@
 # Milliseconds between two lists while the store fails, at most, for a node that has
 # links; one that has none cannot serve without.
 _RETRY_LIST_MAX_MS = 6_000.0
+# Milliseconds within which nodes write again what a store has lost that came back from
+# a copy, each at a moment of its own.
+_WRITE_AGAIN_MS = 1_000.0
 # Milliseconds that an announcement waits for its answer, at most.
 _ANNOUNCE_MS = 2_500.0
 
@@ -97,6 +100,7 @@
         self._rng = rng
         self._tell = teller
         self._removed: dict[str, str] = {}
+        self._returned = trio.Event()
         self._announced_at = float("-inf")
 
     async def run(self) -> None:
@@ -115,9 +119,29 @@
                 continue
             pause = max(_LIST_MS, len(present) * _LIST_A_NODE_MS)
             spread = 1.0 + _LIST_SPREAD * (2.0 * self._rng.random() - 1.0)
-            await trio.sleep(pause * spread / MS_PER_S)
-            present = await self._list("interval")
-            await self._remove_lost(present)
+            with trio.move_on_after(pause * spread / MS_PER_S):
+                await self._returned.wait()
+            if self._returned.is_set():
+                await self._write_again()
+            else:
+                present = await self._list("interval")
+                await self._remove_lost(present)
+
+    def note_return(self) -> None:
+        """Take in that the store has come back from a copy.
+
+        What this node wrote may be gone, and what it removed may be back.
+        """
+        self._announced_at = float("-inf")
+        self._removed.clear()
+        self._returned.set()
+
+    async def _write_again(self) -> None:
+        """Announce this node again if the store has lost that it did."""
+        self._returned = trio.Event()
+        await trio.sleep(self._rng.random() * _WRITE_AGAIN_MS / MS_PER_S)
+        if not await self._probe.find_entry("returned"):
+            await self._announce("returned")
 
     def _is_listed(self, present: Mapping[str, Member]) -> bool:
         """Whether a list holds this node where it is now; else it is announced."""
@@ -191,7 +215,7 @@
         while (failed := await self._announce_once(cause, wait)) is not None:
             self._tell.event("announce-failed", cause=failed)
             wait = min(2.0 * wait, _ANNOUNCE_MS)
-            await self._probe.wait_for_answer("announce")
+            await self._probe.find_entry("announce")
         self._announced_at = self._clock.now()
 
     async def _announce_once(self, cause: str, wait: Milliseconds) -> str | None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -5,12 +5,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.quarantine import Crash, Held
 from fuchsiagap.core.watching.turn import Hearing
 
 if TYPE_CHECKING:
     from fuchsiagap_node.core.mesh.outcome import Outcome
 
+# Rises where nodes of an earlier release would misunderstand messages.
+PROTOCOL = 2
 # Fullness below a request that made no calls.
 NO_CALLS = -1.0
 
@@ -29,6 +32,8 @@
         Where it stands, and the service of the backend server beside it.
     packed : bool
         Whether all that this end sends from here on is compressed.
+    protocol : int
+        What the messages mean; nodes of another one are not linked.
     """
 
     node: str
@@ -37,6 +42,7 @@
     data_centre: str
     service: str
     packed: bool = False
+    protocol: int = PROTOCOL
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,12 +61,14 @@
         Share of recent requests that ended refused or broken.
     warming : bool
         Whether the server is in its warm-up.
-    revision : int
-        Revision of the configuration that this node has adopted.
+    version : int
+        Version of the configuration that this node has adopted.
     hearing : Hearing
         How this node hears of newer ones.
     service_ms : int
         Milliseconds that a request is at the server; 0 if not known.
+    epoch : int
+        Epoch of the store, as this node last heard from it; `NO_EPOCH` before.
     """
 
     instance: str
@@ -69,9 +77,10 @@
     offered: float
     failing: float
     warming: bool
-    revision: int
+    version: int
     hearing: Hearing = Hearing.RELIES
     service_ms: int = 0
+    epoch: int = NO_EPOCH
 
 
 class Call(NamedTuple):
@@ -199,12 +208,13 @@
 
     Parameters
     ----------
-    revision : int
-        Revision of the object.
+    epoch, revision : int
+        Where it stands in the history of the store.
     text : bytes
         Its content, encoded as the platform encodes it.
     """
 
+    epoch: int
     revision: int
     text: bytes
 
@@ -237,14 +247,14 @@
     ----------
     question : int
         Number of the question.
-    revision : int
-        Revision that was the newest.
+    version : int
+        Version that was the newest.
     age : float
         Milliseconds since it was, at the moment of the answer.
     """
 
     question: int
-    revision: int
+    version: int
     age: float
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -189,6 +189,7 @@
         self._own_status = OwnStatus(self.door, self._config)
         self.door.repeats.n_doors = lambda: self._links.n_beside(cfg.service) + 1
         self._members = MemberSync(own, self._links, store, cfg, clock, rng, tell)
+        self._config.on_return = self._members.note_return
         self._settings_fault = ""
         self._leaving = False
         self._is_caught_up = False
@@ -197,7 +198,7 @@
             hello, self.door, self._own_status.now, clock, tell, self._poller
         )
         self._taking.on_hello = self._links.take_hello
-        self._taking.config_text = self._config.text
+        self._taking.config_text = self._config.in_force.text
         self._taking.below = below
         self._workspaces.prepare_taking(self._taking)
         self._taking.on_report = self.reports.handle
@@ -223,7 +224,7 @@
 
     def _prepare_link(self, link: SendingLink) -> None:
         link.on_status = self._take_status_of
-        link.on_config = lambda text: self._config.take_text(text, link.member.node)
+        link.on_config = lambda text: self._config.adopt_text(text, link.member.node)
         link.on_report = self.reports.handle
         link.heard_elsewhere = partial(self._taking.heard_at, link.member.node)
         self._workspaces.prepare_link(link)
@@ -231,7 +232,7 @@
 
     def _take_status_of(self, link: SendingLink) -> None:
         """Follow what another node says of itself and of its server."""
-        self._config.peer_has(link)
+        self._config.hear_peer(link)
         target = link.target
         self.reports.resolve_server(target.node, target.service, target.instance)
         if not self._is_caught_up:
@@ -325,7 +326,7 @@
         trio.lowlevel.add_instrument(watch)
         self._poller.before_calls = partial(watch.after_io_wait, 0.0)
         async with trio.open_nursery() as nursery:
-            self._config.nursery = nursery
+            self._config.serve_in(nursery)
             self._links.nursery = nursery
             for work in (
                 self._poller.run,
@@ -362,7 +363,7 @@
     @property
     def version_in_force(self) -> int:
         """Version of the configuration in force; 0 before the first."""
-        return self._config.version
+        return self._config.in_force.version
 
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_status.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_status.py
@@ -43,9 +43,10 @@
             _coarse(round(door.offered()), door.limit),
             round(door.failing(), 1),
             door.is_warming(),
-            self._config.revision,
+            self._config.in_force.version,
             self._config.hearing,
             self._told_ms(),
+            self._config.epoch,
         )
 
     def _told_ms(self) -> int:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -8,6 +8,7 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.placement.choice import Target
 from fuchsiagap.core.quarantine.quarantine import Crash, Held
 from fuchsiagap.core.watching.turn import Hearing
@@ -102,8 +103,10 @@
     ----------
     target : Target
         The backend server beside the node, as this node sees it.
-    revision : int
-        Revision of the configuration that the node has adopted.
+    version : int
+        Version of the configuration that the node has adopted.
+    epoch : int
+        Epoch of the store, as the node last heard from it.
     hearing : Hearing
         How the node hears of newer ones.
     on_config : callable
@@ -142,7 +145,8 @@
         self._serving: FramedLink | None = None
         self._pending: dict[int, OnReply] = {}
         self.target = Target(member.node, "", member.service, local, usable=False)
-        self.revision = 0
+        self.version = 0
+        self.epoch = NO_EPOCH
         self.hearing = Hearing.RELIES
         # Of two nodes that are linked both ways, one asks first and the other is heard.
         is_first = hello.node < member.node
@@ -320,7 +324,8 @@
         target.failing = status.failing
         target.warming = status.warming
         target.service_ms = status.service_ms
-        self.revision = status.revision
+        self.version = status.version
+        self.epoch = status.epoch
         self.hearing = status.hearing
         self.on_status(self)
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
@@ -9,6 +9,7 @@
     from collections.abc import Mapping
 
     from fuchsiagap.core.clock import Milliseconds
+    from fuchsiagap.core.freshness.store_view import Cursor
     from fuchsiagap.core.routes.model import RouteConfig
     from fuchsiagap_node.core.mesh.sending import Member
     from fuchsiagap_node.core.mesh.unreadable import Unreadable
@@ -34,19 +35,19 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredConfig:
-    """A configuration and its place in the order of changes.
+    """A configuration as the store holds it.
 
     Parameters
     ----------
-    revision : int
-        Revision of its object.
+    cursor : Cursor
+        Where it stands in the history of the store.
     text : bytes
         As the platform encodes it, for other nodes.
     config : RouteConfig
         What it says.
     """
 
-    revision: int
+    cursor: Cursor
     text: bytes
     config: RouteConfig
 
@@ -67,24 +68,41 @@
     broken: tuple[Unreadable, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Probed:
+    """What a probe showed.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the store; `NO_EPOCH` if it told none.
+    is_listed : bool
+        Whether the entry of the node that was asked for is there.
+    """
+
+    epoch: int
+    is_listed: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigNews:
     """What a look at the configuration gave.
 
     Parameters
     ----------
-    revision : int
-        Revision of the store to watch from.
+    cursor : Cursor
+        Where to watch from.
     stored : StoredConfig or None
         The configuration, if there is a new one.
     """
 
-    revision: int
+    cursor: Cursor
     stored: StoredConfig | None
 
 
 ConfigResult: TypeAlias = ConfigNews | HistoryGone | StoreFailed
 MembersResult: TypeAlias = Members | StoreFailed
+ProbeResult: TypeAlias = Probed | StoreFailed
 
 
 class Store(Protocol):
@@ -93,13 +111,13 @@
     async def read_config(self, recent: bool) -> ConfigResult:
         """Return the configuration; as of seconds ago, for less, unless `recent`."""
 
-    async def watch_config(self, revision: int, wait: Milliseconds) -> ConfigResult:
-        """Wait for a change of the configuration after a revision."""
+    async def watch_config(self, cursor: Cursor, wait: Milliseconds) -> ConfigResult:
+        """Wait for a change of the configuration after a cursor."""
 
-    async def probe(self, node: str) -> StoreFailed | None:
-        """Ask the cheapest question there is; None if it was answered."""
+    async def probe(self, node: str) -> ProbeResult:
+        """Ask the cheapest question there is, for the entry of a node."""
 
-    def decode_config(self, revision: int, text: bytes) -> StoredConfig | None:
+    def decode_config(self, cursor: Cursor, text: bytes) -> StoredConfig | None:
         """Return a configuration that another node sent; None if it is none."""
 
     async def read_members(self, recent: bool) -> MembersResult:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store_probe.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store_probe.py
@@ -8,13 +8,14 @@
 
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap_node.core.mesh.repeated_question import ask_repeatedly
+from fuchsiagap_node.core.mesh.store import StoreFailed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fuchsiagap.core.freshness.patience import Patience
     from fuchsiagap_node.core.mesh.repeated_question import Heard
-    from fuchsiagap_node.core.mesh.store import Store, StoreFailed
+    from fuchsiagap_node.core.mesh.store import ProbeResult, Store
     from fuchsiagap_node.core.mesh.telling import Teller
 
 
@@ -43,7 +44,7 @@
 
     async def ask(
         self, cause: str, on_silence: Callable[[], None]
-    ) -> Heard[StoreFailed | None]:
+    ) -> Heard[ProbeResult]:
         """Ask again and again while there is no answer; return the first.
 
         Parameters
@@ -54,18 +55,21 @@
             Told that a second question has no answer either.
         """
 
-        async def ask_once() -> StoreFailed | None:
+        async def ask_once() -> ProbeResult:
             self._tell.store_call("probe", cause)
             return await self._store.probe(self._node)
 
         return await ask_repeatedly(ask_once, self._patience.again, on_silence)
 
-    async def wait_for_answer(self, cause: str) -> None:
-        """Wait until the store answers."""
-        pause = self._patience.pause
-        while (await self.ask(cause, _ignore)).result is not None:
-            await trio.sleep(pause / MS_PER_S)
-            pause = min(2.0 * pause, self._patience.most_pause)
+    async def find_entry(self, cause: str) -> bool:
+        """Wait until the store answers; return whether it has this node's entry."""
+        n_failed = 0
+        while True:
+            probed = (await self.ask(cause, _ignore)).result
+            if not isinstance(probed, StoreFailed):
+                return probed.is_listed
+            n_failed += 1
+            await trio.sleep(self._patience.after(n_failed) / MS_PER_S)
 
 
 def _ignore() -> None:
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/watch_turn.py
@@ -0,0 +1,129 @@
+"""Whether it is this node's turn to ask the store for the configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from fuchsiagap.core.watching.turn import Hearing, Neighbour, Turn, turn_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.sending import Member, SendingLink
+
+# Nodes that watch in each data centre: one where nodes of two others are in reach,
+# whose watchers hear of the same changes, else two.
+_WATCHERS = 1
+_WATCHERS_ALONE = 2
+_ENOUGH_ELSEWHERE = 2
+# Milliseconds after its start for which a node does not watch, until it has links to
+# those that may do it: where all nodes start for the first time, they have to find each
+# other before.
+_SETTLE_MS = 1_500.0
+_SETTLE_FIRST_START_MS = 6_000.0
+
+
+class WatchTurn:
+    """The place of this node among those that may watch.
+
+    Parameters
+    ----------
+    own : Member
+        This node.
+    links : callable
+        Returns the links to other nodes.
+    first_start : bool
+        Whether the whole system starts for the first time.
+    clock : Clock
+        Time in milliseconds.
+
+    Attributes
+    ----------
+    hearing : Hearing
+        How this node hears of changes.
+    is_lost : bool
+        Whether the store did not answer the last question.
+    changed : callable
+        Told that `hearing` has changed.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        links: Callable[[], Iterable[SendingLink]],
+        first_start: bool,
+        clock: Clock,
+    ) -> None:
+        self._own = own
+        self._links = links
+        self._clock = clock
+        settle = _SETTLE_FIRST_START_MS if first_start else _SETTLE_MS
+        self._settled_at = clock.now() + settle
+        self._due_since: Milliseconds | None = None
+        self._may_ask = trio.Event()
+        self.hearing = Hearing.RELIES
+        self.is_lost = False
+        self.changed: Callable[[], None] = _ignore
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the node has had time to link others."""
+        return self._clock.now() >= self._settled_at
+
+    def now(self) -> Turn:
+        """Return the turn as the links show it now."""
+        near = (
+            Neighbour(link.member.node, link.hearing)
+            for link in self._links()
+            if link.target.local and link.is_heard()
+        )
+        return turn_of(self._own.node, near, self.n_watchers())
+
+    def n_watchers(self) -> int:
+        """Return how many nodes are to watch in each data centre."""
+        own = self._own.data_centre
+        places = {link.member.data_centre for link in self._links() if link.is_heard()}
+        enough = len(places - {own}) >= _ENOUGH_ELSEWHERE
+        return _WATCHERS if enough else _WATCHERS_ALONE
+
+    def is_first(self) -> bool:
+        """Whether this node would watch where all hear of changes."""
+        return self.now().is_first(self.n_watchers())
+
+    async def wait(self, is_urgent: Callable[[], bool]) -> None:
+        """Wait until it is this node's turn, or it cannot wait for others."""
+        self._may_ask = trio.Event()
+        self.look(is_urgent)
+        await self._may_ask.wait()
+
+    def look(self, is_urgent: Callable[[], bool]) -> None:
+        """Look whether it is this node's turn to ask the store."""
+        turn = self.now()
+        if is_urgent():
+            self._may_ask.set()
+        if not turn.is_due:
+            self._due_since = None
+            self.set_hearing(Hearing.RELIES)
+            return
+        now = self._clock.now()
+        if self._due_since is None:
+            self._due_since = now
+        n_watchers = self.n_watchers()
+        if now < max(self._due_since + turn.patience(n_watchers), self._settled_at):
+            return
+        if self.is_lost and turn.others_watch and not turn.is_first(n_watchers):
+            return
+        self._may_ask.set()
+
+    def set_hearing(self, hearing: Hearing) -> None:
+        """Take in how this node hears of changes."""
+        if self.hearing is not hearing:
+            self.hearing = hearing
+            self.changed()
+
+
+def _ignore() -> None:
+    """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/workspaces.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/workspaces.py
@@ -78,7 +78,10 @@
         )
         self.quotas = Quotas(owners, self._post, cfg.first_start, clock, teller)
         self.check = WorkspaceCheck(
-            self.knowledge.is_too_old, lambda: config.knowledge_age, clock, teller
+            self.knowledge.is_too_old,
+            lambda: config.in_force.knowledge_age,
+            clock,
+            teller,
         )
 
     def _post(self, node: str, message: TokensWanted) -> bool:
--- a/packages/fuchsiagap/src/fuchsiagap/core/freshness/knowledge_age.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/freshness/knowledge_age.py
@@ -29,29 +29,32 @@
 
     def __init__(self) -> None:
         self.as_of: Milliseconds = float("-inf")
-        # A moment at which a revision was the newest that is not in force here yet.
-        self._ahead_revision = 0
+        # A moment at which a version was the newest that is not in force here yet.
+        self._ahead_version = 0
         self._ahead_as_of: Milliseconds = float("-inf")
 
-    def confirm(self, revision: int, as_of: Milliseconds, in_force: int) -> None:
-        """Take in that a revision was the newest at a moment.
+    def confirm(self, version: int, as_of: Milliseconds, in_force: int) -> None:
+        """Take in that a version was the newest at a moment.
+
+        One that is older than the one in force here proves nothing: whoever says so may
+        have it from a store that has lost the newer ones.
 
         Parameters
         ----------
-        revision : int
-            The revision.
+        version : int
+            The version.
         as_of : float
             The moment.
         in_force : int
-            Revision in force here.
+            Version in force here.
         """
-        if in_force >= revision:
+        if version == in_force:
             self.as_of = max(self.as_of, as_of)
-        elif as_of > self._ahead_as_of:
-            self._ahead_revision = revision
+        elif version > in_force and as_of > self._ahead_as_of:
+            self._ahead_version = version
             self._ahead_as_of = as_of
 
-    def adopt(self, revision: int) -> None:
-        """Take in that a revision is in force here from now on."""
-        if revision >= self._ahead_revision:
+    def adopt(self, version: int) -> None:
+        """Take in that a version is in force here from now on."""
+        if version >= self._ahead_version:
             self.as_of = max(self.as_of, self._ahead_as_of)
--- a/packages/fuchsiagap/src/fuchsiagap/core/freshness/patience.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/freshness/patience.py
@@ -18,6 +18,7 @@
 _PROBE_SHARE = 0.6
 _PAUSE_SHARE = 0.075
 _MOST_PAUSE_SHARE = 0.25
+_MOST_DOUBLINGS = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +40,11 @@
     pause: Milliseconds
     most_pause: Milliseconds
 
+    def after(self, n_failed: int) -> Milliseconds:
+        """Return the pause after so many failures in a row."""
+        doubled = self.pause * 2.0 ** min(n_failed - 1, _MOST_DOUBLINGS)
+        return min(doubled, self.most_pause)
+
 
 def patience_within(bound: Milliseconds) -> Patience:
     """Return the waits that leave a change time to be in force within a bound.
--- a/tools/check_names.py
+++ b/tools/check_names.py
@@ -12,7 +12,7 @@
 NAMES = re.compile(
     r"heartbeatUrl|weightedServices|pathPrefix|maxAttempts|targetLatency|warmupLeft"
     r"|Target-Instance|Server-Signature|Caller-Service|Server-Load|Not-Executed"
-    r"|Instance-Id|Deadline-Ms|appAddr|listenAddrs|currentRev|waitMs"
+    r"|Instance-Id|Deadline-Ms|appAddr|listenAddrs|currentRev|waitMs|Store-Era"
     r"|/v1/(objects|instances|readiness)|FUCHSIAGAP_NODE_FILE"
 )
 
