--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -186,6 +186,7 @@
 
     def hear_peer(self, link: SendingLink) -> None:
         """Take in what another node has told of the configuration and the store."""
+        self._view.note_told_epoch(link.epoch)
         self._hear_epoch(link.epoch)
         self._peers.hear(link)
 
