Ask a silent store less, and let one node watch it as it answers again

Cause: questions were repeated each 0.4 s by all nodes, also by those whose answer helps nobody else, and all that waited for the store watched it at the moment it answered; nodes that had started meanwhile do not know yet who is first.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -15,7 +15,7 @@
 from fuchsiagap_node.core.mesh.config_peers import ConfigPeers
 from fuchsiagap_node.core.mesh.repeated_question import ask_repeatedly
 from fuchsiagap_node.core.mesh.settings import Bounds
-from fuchsiagap_node.core.mesh.store import ConfigNews, HistoryGone, StoreFailed
+from fuchsiagap_node.core.mesh.store import ConfigNews, HistoryGone, Probed, StoreFailed
 from fuchsiagap_node.core.mesh.store_probe import StoreProbe
 from fuchsiagap_node.core.mesh.watch_turn import WatchTurn
 
@@ -25,8 +25,14 @@
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.messages import ConfigText
+    from fuchsiagap_node.core.mesh.repeated_question import Heard
     from fuchsiagap_node.core.mesh.sending import Member, SendingLink
-    from fuchsiagap_node.core.mesh.store import ConfigResult, Store, StoredConfig
+    from fuchsiagap_node.core.mesh.store import (
+        ConfigResult,
+        ProbeResult,
+        Store,
+        StoredConfig,
+    )
     from fuchsiagap_node.core.mesh.telling import Teller
 
 # Milliseconds that one watch waits; each is one priced call. Probes tell meanwhile
@@ -36,6 +42,8 @@
 # that are not first in their data centre, and of all while one beside them watches.
 _RETRY_OTHERS_MS = 4_000.0
 _RETRY_MAX_MS = 8_000.0
+# Growth of the time between repeated questions, of those that are not first.
+_GROWTH_OTHERS = 2.0
 # Share of the bound of revocations for which a store that has come back from a copy
 # proves nothing, until what it lost is written again.
 _SETTLE_SHARE = 0.3
@@ -54,6 +62,7 @@
     READ = "config-read"
     READ_OLDER = "config-read-older"
     WATCH = "config-watch"
+    PROBE = "probe"
 
 
 class _Cause(Enum):
@@ -137,6 +146,7 @@
         self._is_first_read = True
         # Those that have lost touch together do not ask together.
         self._ask_at = rng.uniform(*_ASK_AT_SHARES)
+        self._first_read_scope: trio.CancelScope | None = None
         self._watch_scope: trio.CancelScope | None = None
         self.changed: Callable[[], None] = _ignore
         self.on_return: Callable[[], None] = _ignore
@@ -181,6 +191,8 @@
         if not self.in_force.adopt(stored, source):
             return
         self._view.note_version(cursor, stored.config.version, self._clock.now())
+        if self._is_first_read and self._first_read_scope is not None:
+            self._first_read_scope.cancel()
         if self._peers.nursery is not None and self._watch_scope is not None:
             self._peers.nursery.start_soon(self._doubt_watch, self._watch_scope)
 
@@ -228,6 +240,9 @@
                     if question is _Question.WATCH:
                         n_gone = 0
                     self._take_news(question, result, asked_at)
+                case Probed():
+                    n_failed = 0
+                    self._regain_store()
                 case HistoryGone():
                     n_gone += 1
                     self._lose_history()
@@ -243,11 +258,9 @@
         self, question: _Question, news: ConfigNews, asked_at: Milliseconds
     ) -> None:
         """Take in what the store has answered."""
-        now = self._heard_at = self._clock.now()
+        self._regain_store()
+        now = self._clock.now()
         self._is_first_read = False
-        if self._turn.is_lost:
-            self._tell.event("store-regained", what="configuration")
-        self._turn.is_lost = False
         if self._turn.now().is_due:
             self._turn.set_hearing(Hearing.WATCHES)
         is_sound = self._note_place(question, news, now)
@@ -259,6 +272,13 @@
         if is_sound and self._view.proves(version, asked_at):
             self.in_force.confirm(version, asked_at)
 
+    def _regain_store(self) -> None:
+        """Note that the store answers."""
+        self._heard_at = self._clock.now()
+        if self._turn.is_lost:
+            self._tell.event("store-regained", what="configuration")
+        self._turn.is_lost = False
+
     def _note_place(
         self, question: _Question, news: ConfigNews, now: Milliseconds
     ) -> bool:
@@ -272,7 +292,7 @@
                 return True
             case _Question.READ_OLDER:
                 self._view.note_older_read(news.cursor, version or 0, now)
-                return False
+        return False
 
     def _tell_epoch(self) -> None:
         """Let others know of an epoch that this node has heard first."""
@@ -332,12 +352,17 @@
             return 0.0 if was_silent else self._patience.after(n_failed)
         return min(_RETRY_OTHERS_MS * n_failed, _RETRY_MAX_MS) * spread
 
-    async def _ask_store(self) -> tuple[_Question, ConfigResult]:
+    async def _ask_store(self) -> tuple[_Question, ConfigResult | Probed | None]:
         """Read the configuration, or wait for the next one."""
         # A watch that a silent store drops would hide for long that it is back.
-        is_doubtful = self._turn.is_lost or self.store_age > self._patience.probe
-        if is_doubtful and (lost := await self._find_lost()) is not None:
-            return _Question.READ, lost
+        if self._turn.is_lost or self.store_age > self._patience.probe:
+            heard = await self._ask_probe()
+            if isinstance(heard.result, StoreFailed):
+                return _Question.PROBE, heard.result
+            self._note_epoch(heard.result.epoch)
+            was_away = self._turn.is_lost or heard.n_unanswered > 0
+            if was_away and await self._leave_to_others():
+                return _Question.PROBE, heard.result
         while True:
             cursor = self._view.cursor
             if cursor is None or not self._view.can_watch(self._clock.now()):
@@ -349,8 +374,18 @@
                 "watch-restarted", what="configuration", base=self.revision
             )
 
-    async def _read(self) -> tuple[_Question, ConfigResult]:
-        """Read the configuration.
+    async def _leave_to_others(self) -> bool:
+        """Whether another node is to ask the store that answers again.
+
+        All notice at the same moment, and a node that has started meanwhile does not
+        know yet which of them is first.
+        """
+        if self._is_first_read:
+            await trio.sleep(self._rng.random() * self._patience.again / MS_PER_S)
+        return self._turn.leave_to_others()
+
+    async def _read(self) -> tuple[_Question, ConfigResult | None]:
+        """Read the configuration; None if another node sent the first one meanwhile.
 
         At its start a node takes one that may be seconds old, for a tenth of the price:
         a newer one comes on the links, or with the first watch from this one on.
@@ -367,8 +402,10 @@
             return await self._store.read_config(recent=not is_older)
 
         every = self._patience.again
-        heard = await ask_repeatedly(ask, every, self._suspect_store)
-        return question, heard.result
+        with trio.CancelScope() as self._first_read_scope:
+            heard = await ask_repeatedly(ask, every, self._suspect_store, self._growth)
+            return question, heard.result
+        return question, None
 
     async def _watch(self, cursor: Cursor) -> ConfigResult | None:
         """Wait for the next configuration as long as the store answers probes.
@@ -407,7 +444,7 @@
             wait = self._patience.probe
             if not self._turn.now().is_due and not self._is_too_old():
                 continue
-            heard = await self._probe.ask("liveness", self._suspect_store)
+            heard = await self._ask_probe()
             if isinstance(heard.result, StoreFailed):
                 results.append(heard.result)
                 break
@@ -420,13 +457,15 @@
         await trio.sleep(self._patience.again / MS_PER_S)
         watch_scope.cancel()
 
-    async def _find_lost(self) -> StoreFailed | None:
-        """Return why the store does not answer; None if it does."""
-        probed = (await self._probe.ask("liveness", self._suspect_store)).result
-        if isinstance(probed, StoreFailed):
-            return probed
-        self._note_epoch(probed.epoch)
-        return None
+    async def _ask_probe(self) -> Heard[ProbeResult]:
+        return await self._probe.ask("liveness", self._suspect_store, self._growth)
+
+    def _growth(self) -> float:
+        """Return how the time between repeated questions grows.
+
+        The first nodes of the data centres notice a return for all.
+        """
+        return 1.0 if self._turn.is_first() else _GROWTH_OTHERS
 
     def _note_epoch(self, epoch: int) -> bool:
         """Take in what a probe tells; return whether the cursor is void by it."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -51,6 +51,8 @@
 # Milliseconds between two lists while the store fails, at most, for a node that has
 # links; one that has none cannot serve without.
 _RETRY_LIST_MAX_MS = 6_000.0
+# Growth of the time between repeated lists of a node that has links.
+_GROWTH_LINKED = 3.0
 # Milliseconds within which nodes write again what a store has lost that came back from
 # a copy, each at a moment of its own.
 _WRITE_AGAIN_MS = 1_000.0
@@ -192,7 +194,8 @@
             return await self._store.read_members(recent=False)
 
         while True:
-            result = (await ask_repeatedly(ask, self._patience.again, _ignore)).result
+            every = self._patience.again
+            result = (await ask_repeatedly(ask, every, _ignore, self._growth)).result
             if isinstance(result, Members):
                 if failing:
                     self._tell.event("store-regained", what="members")
@@ -206,10 +209,18 @@
                 self._tell.event("store-lost", what="members", cause=result.reason)
             failing = True
             await trio.sleep(wait / MS_PER_S)
-            is_alone = not any(link.is_heard() for link in self._links)
+            is_alone = self._is_alone()
             longest = self._patience.most_pause if is_alone else _RETRY_LIST_MAX_MS
             wait = min(2.0 * wait, longest)
 
+    def _growth(self) -> float:
+        """Return how the time between repeated lists grows."""
+        return 1.0 if self._is_alone() else _GROWTH_LINKED
+
+    def _is_alone(self) -> bool:
+        """Whether this node is linked to no other one."""
+        return not any(link.is_heard() for link in self._links)
+
     async def _announce(self, cause: str) -> None:
         wait = 2.0 * self._patience.again
         while (failed := await self._announce_once(cause, wait)) is not None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/repeated_question.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/repeated_question.py
@@ -32,10 +32,16 @@
     n_unanswered: int
 
 
+def _no_growth() -> float:
+    """Return that the time stays the same."""
+    return 1.0
+
+
 async def ask_repeatedly(
     ask: Callable[[], Awaitable[Result]],
     every: Milliseconds,
     on_silence: Callable[[], None],
+    growth: Callable[[], float] = _no_growth,
 ) -> Heard[Result]:
     """Return the first result of a question that is asked again and again.
 
@@ -50,6 +56,8 @@
         Milliseconds between two questions.
     on_silence : callable
         Told that a second question has no answer either.
+    growth : callable, optional
+        Returns by what that time grows from one question to the next.
     """
     heard: list[Heard[Result]] = []
     answered = trio.Event()
@@ -63,7 +71,7 @@
             if number == 2:
                 on_silence()
             nursery.start_soon(ask_one, number)
-            with trio.move_on_after(every / MS_PER_S):
+            with trio.move_on_after(every * growth() ** number / MS_PER_S):
                 await answered.wait()
             if answered.is_set():
                 break
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store_probe.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store_probe.py
@@ -43,7 +43,10 @@
         self._tell = teller
 
     async def ask(
-        self, cause: str, on_silence: Callable[[], None]
+        self,
+        cause: str,
+        on_silence: Callable[[], None],
+        growth: Callable[[], float],
     ) -> Heard[ProbeResult]:
         """Ask again and again while there is no answer; return the first.
 
@@ -53,24 +56,32 @@
             Why, for the counter of calls.
         on_silence : callable
             Told that a second question has no answer either.
+        growth : callable
+            Returns by what the time between two questions grows.
         """
 
         async def ask_once() -> ProbeResult:
             self._tell.store_call("probe", cause)
             return await self._store.probe(self._node)
 
-        return await ask_repeatedly(ask_once, self._patience.again, on_silence)
+        every = self._patience.again
+        return await ask_repeatedly(ask_once, every, on_silence, growth)
 
     async def find_entry(self, cause: str) -> bool:
         """Wait until the store answers; return whether it has this node's entry."""
         n_failed = 0
         while True:
-            probed = (await self.ask(cause, _ignore)).result
+            probed = (await self.ask(cause, _ignore, _doubling)).result
             if not isinstance(probed, StoreFailed):
                 return probed.is_listed
             n_failed += 1
             await trio.sleep(self._patience.after(n_failed) / MS_PER_S)
 
 
+def _doubling() -> float:
+    """Return that the time between two questions doubles."""
+    return 2.0
+
+
 def _ignore() -> None:
     """Do nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/watch_turn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/watch_turn.py
@@ -118,6 +118,14 @@
             return
         self._may_ask.set()
 
+    def leave_to_others(self) -> bool:
+        """Whether one before this node is to ask the store that answers again."""
+        if self.is_first() and self.now().is_due:
+            return False
+        self._due_since = None
+        self.set_hearing(Hearing.RELIES)
+        return True
+
     def set_hearing(self, hearing: Hearing) -> None:
         """Take in how this node hears of changes."""
         if self.hearing is not hearing:
