Follow a bound on changes that is set anew while a node runs

The test failed before: as many calls to a store that turns a node away at a bound of 2 s and of 20 s.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -177,6 +177,10 @@
         """Milliseconds that the question under way waits for its answer; 0 for none."""
         return 0.0 if self._asked_at is None else self._clock.now() - self._asked_at
 
+    def adopt_bounds(self, bounds: Bounds) -> None:
+        """Follow a bound on changes that has been set anew."""
+        self._patience = self._probe.patience = patience_within(bounds.change)
+
     def serve_in(self, nursery: trio.Nursery) -> None:
         """Let a nursery hold what asks other nodes."""
         self._peers.nursery = nursery
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -19,7 +19,7 @@
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.links import Links
     from fuchsiagap_node.core.mesh.sending import Member
-    from fuchsiagap_node.core.mesh.settings import MeshSettings
+    from fuchsiagap_node.core.mesh.settings import Bounds, MeshSettings
     from fuchsiagap_node.core.mesh.store import MembersResult, Store
     from fuchsiagap_node.core.mesh.telling import Teller
 
@@ -105,6 +105,10 @@
         self._returned = trio.Event()
         self._announced_at = float("-inf")
 
+    def adopt_bounds(self, bounds: Bounds) -> None:
+        """Follow a bound on changes that has been set anew."""
+        self._patience = self._probe.patience = patience_within(bounds.change)
+
     async def run(self) -> None:
         """Announce this node and follow the store until cancelled."""
         if self._first_start:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -438,6 +438,8 @@
         self.tell.event("settings-changed", changed=changed, adopted=adopted)
         self.cfg = replace(self.cfg, bounds=found.bounds, budget=found.budget)
         self.door.adopt(self.cfg)
+        self._config.adopt_bounds(self.cfg.bounds)
+        self._members.adopt_bounds(self.cfg.bounds)
 
     def _close_door(self) -> None:
         """Give back what waits for the backend server, and let others know."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store_probe.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store_probe.py
@@ -29,7 +29,7 @@
     node : str
         This node, whose entry is asked for.
     patience : Patience
-        Waits for the store.
+        Waits for the store; may be set anew.
     teller : Teller
         Counters.
     """
@@ -39,7 +39,7 @@
     ) -> None:
         self._store = store
         self._node = node
-        self._patience = patience
+        self.patience = patience
         self._tell = teller
 
     async def ask(
@@ -64,7 +64,7 @@
             self._tell.store_call("probe", cause)
             return await self._store.probe(self._node)
 
-        every = self._patience.again
+        every = self.patience.again
         return await ask_repeatedly(ask_once, every, on_silence, growth)
 
     async def find_entry(self, cause: str) -> bool:
@@ -75,7 +75,7 @@
             if not isinstance(probed, StoreFailed):
                 return probed.is_listed
             n_failed += 1
-            await trio.sleep(self._patience.after(n_failed) / MS_PER_S)
+            await trio.sleep(self.patience.after(n_failed) / MS_PER_S)
 
 
 def _doubling() -> float:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_node.py
@@ -1,6 +1,7 @@
 """A node's planned stop and its settings."""
 
 from dataclasses import replace
+from functools import partial
 
 import trio
 from testtools import TestCase
@@ -137,3 +138,22 @@
         self.assertEqual(cfg.node, changed.node)
         self.assertEqual(1, counts["events", "settings-refused"])
         self.assertEqual(1, counts["events", "settings-changed"])
+
+    def test_store_that_turns_nodes_away_is_asked_by_the_bound_that_was_set_anew(self):
+        async def calls(bound):
+            async with a_deployment(READ) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                changed = replace(host.node.cfg.bounds, change=bound)
+                host.node._reload = lambda: replace(host.node.cfg, bounds=changed)
+                host.node.check_settings()
+                await trio.sleep(12.0)
+                host.store.down = True
+                await trio.sleep(10.0)
+                before = deployment.state.calls
+                await trio.sleep(40.0)
+                return deployment.state.calls - before
+
+        often = run_in_memory(partial(calls, 2_000.0))
+        seldom = run_in_memory(partial(calls, 20_000.0))
+        self.assertGreater(often, 2.0 * seldom)
