--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_peers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_peers.py
@@ -65,7 +65,7 @@
         self._is_asking = False
         self.nursery: trio.Nursery | None = None
 
-    def hear(self, link: SendingLink) -> None:
+    def handle_status(self, link: SendingLink) -> None:
         """Ask for the configuration if another node has a newer one."""
         if link.version <= self._in_force.version or self._is_asking:
             return
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -8,24 +8,24 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
-from fuchsiagap.core.freshness.patience import patience_within
+from fuchsiagap.core.freshness.store_timeouts import timeouts_within
 from fuchsiagap.core.freshness.store_view import NO_EPOCH, Cursor, StoreView
-from fuchsiagap.core.watching.turn import Hearing
+from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap_node.core.mesh.config_in_force import ConfigInForce
 from fuchsiagap_node.core.mesh.config_peers import ConfigPeers
-from fuchsiagap_node.core.mesh.repeated_question import ask_repeatedly
+from fuchsiagap_node.core.mesh.hedging import hedge
 from fuchsiagap_node.core.mesh.settings import Bounds
 from fuchsiagap_node.core.mesh.store import ConfigNews, HistoryGone, Probed, StoreFailed
 from fuchsiagap_node.core.mesh.store_probe import StoreProbe
-from fuchsiagap_node.core.mesh.watch_turn import WatchTurn
+from fuchsiagap_node.core.mesh.watcher_role import WatcherRole
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Iterable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.hedging import FirstAnswer
     from fuchsiagap_node.core.mesh.messages import ConfigText
-    from fuchsiagap_node.core.mesh.repeated_question import Heard
     from fuchsiagap_node.core.mesh.sending import Member, SendingLink
     from fuchsiagap_node.core.mesh.store import (
         ConfigResult,
@@ -42,7 +42,7 @@
 # that are not first in their data centre, and of all while one beside them watches.
 _RETRY_OTHERS_MS = 4_000.0
 _RETRY_MAX_MS = 8_000.0
-# Growth of the time between repeated questions, of those that are not first.
+# Growth of the delay between hedged requests, of those that are not first.
 _GROWTH_OTHERS = 2.0
 # Share of the bound of revocations for which a store that has come back from a copy
 # proves nothing, until what it lost is written again.
@@ -51,12 +51,12 @@
 # knowledge, drawn at random, from which it asks the store by itself.
 _WATCH_SHARE = 0.15
 _ASK_AT_SHARES = (0.45, 0.6)
-# Milliseconds between two looks at whose turn it is.
-LOOK_MS = 250.0
+# Milliseconds between two updates of which nodes watch.
+REFRESH_MS = 250.0
 _USUAL_BOUNDS = Bounds()
 
 
-class _Question(Enum):
+class _Request(Enum):
     """What the store is asked, as its calls are counted."""
 
     READ = "config-read"
@@ -103,7 +103,7 @@
     in_force : ConfigInForce
         The configuration in force.
     changed : callable
-        Told that `hearing` or `epoch` has changed.
+        Told that `update_source` or `epoch` has changed.
     on_return : callable
         Told that the store has come back from a copy, and may have lost what this node
         wrote.
@@ -123,26 +123,26 @@
     ) -> None:
         self._store = store
         self._bound = bounds.revocation
-        self._patience = patience_within(bounds.change)
-        self._probe = StoreProbe(store, own.node, self._patience, teller)
+        self._timeouts = timeouts_within(bounds.change)
+        self._probe = StoreProbe(store, own.node, self._timeouts, teller)
         self._clock = clock
         self._tell = teller
         self._rng = rng
         self._view = StoreView((bounds.revocation or 0.0) * _SETTLE_SHARE)
-        self._turn = WatchTurn(own, links, first_start, clock)
-        self._turn.changed = self._tell_change
+        self._role = WatcherRole(own, links, first_start, clock)
+        self._role.changed = self._notify_changed
         self.in_force = ConfigInForce(clock, teller, put_in_force)
         self._peers = ConfigPeers(
             self.in_force,
             links,
-            lambda: self.hearing is Hearing.WATCHES,
+            lambda: self.update_source is UpdateSource.STORE,
             rng,
             teller,
         )
         # The highest epoch that this node or another one has told of.
-        self._epoch_heard = NO_EPOCH
-        self._heard_at = clock.now()
-        self._asked_at: Milliseconds | None = None
+        self._highest_epoch = NO_EPOCH
+        self._answered_at = clock.now()
+        self._requested_at: Milliseconds | None = None
         self._is_first_read = True
         # Those that have lost touch together do not ask together.
         self._ask_at = rng.uniform(*_ASK_AT_SHARES)
@@ -152,9 +152,9 @@
         self.on_return: Callable[[], None] = _ignore
 
     @property
-    def hearing(self) -> Hearing:
+    def update_source(self) -> UpdateSource:
         """How this node hears of changes."""
-        return self._turn.hearing
+        return self._role.update_source
 
     @property
     def epoch(self) -> int:
@@ -170,16 +170,18 @@
     @property
     def store_age(self) -> Milliseconds:
         """Milliseconds since the store last answered, or since the start."""
-        return self._clock.now() - self._heard_at
+        return self._clock.now() - self._answered_at
 
     @property
-    def question_age(self) -> Milliseconds:
-        """Milliseconds that the question under way waits for its answer; 0 for none."""
-        return 0.0 if self._asked_at is None else self._clock.now() - self._asked_at
+    def request_age(self) -> Milliseconds:
+        """Milliseconds that the request under way waits for its answer; 0 for none."""
+        if self._requested_at is None:
+            return 0.0
+        return self._clock.now() - self._requested_at
 
     def adopt_bounds(self, bounds: Bounds) -> None:
         """Follow a bound on changes that has been set anew."""
-        self._patience = self._probe.patience = patience_within(bounds.change)
+        self._timeouts = self._probe.timeouts = timeouts_within(bounds.change)
 
     def serve_in(self, nursery: trio.Nursery) -> None:
         """Let a nursery hold what asks other nodes."""
@@ -200,77 +202,79 @@
         if self._peers.nursery is not None and self._watch_scope is not None:
             self._peers.nursery.start_soon(self._doubt_watch, self._watch_scope)
 
-    def hear_peer(self, link: SendingLink) -> None:
+    def handle_peer_status(self, link: SendingLink) -> None:
         """Take in what another node has told of the configuration and the store."""
-        self._view.note_told_epoch(link.epoch)
-        self._hear_epoch(link.epoch)
-        self._peers.hear(link)
+        self._view.note_peer_epoch(link.epoch)
+        self._observe_epoch(link.epoch)
+        self._peers.handle_status(link)
 
-    def _hear_epoch(self, epoch: int) -> None:
+    def _observe_epoch(self, epoch: int) -> None:
         """Take in an epoch of the store that this node or another one tells of."""
-        if epoch <= self._epoch_heard:
+        if epoch <= self._highest_epoch:
             return
-        is_return = self._epoch_heard != NO_EPOCH
-        self._epoch_heard = epoch
+        is_return = self._highest_epoch != NO_EPOCH
+        self._highest_epoch = epoch
         if is_return:
             self._tell.event("store-returned", epoch=epoch, own_epoch=self.epoch)
             self.on_return()
 
-    def look(self) -> None:
-        """Look whether it is this node's turn to ask the store."""
-        self._turn.look(self._is_too_old)
+    def refresh(self) -> None:
+        """Update whether this node is to watch the store."""
+        self._role.refresh(self._is_too_old)
 
     def _is_too_old(self) -> bool:
         """Whether the others have not told for long how old their knowledge is."""
-        if self._bound is None or not self._turn.is_settled:
+        if self._bound is None or not self._role.is_settled:
             return False
         return self.in_force.knowledge_age > self._bound * self._ask_at
 
-    def _tell_change(self) -> None:
+    def _notify_changed(self) -> None:
         self.changed()
 
     async def run(self) -> None:
-        """Ask the store whenever it is this node's turn, until cancelled."""
+        """Watch the store whenever this node is to, until cancelled."""
         n_failed = n_gone = 0
         while True:
             if not self._is_first_read or self._view.cursor is not None:
-                await self._turn.wait(self._is_too_old)
-            asked_at = self._asked_at = self._clock.now()
-            question, result = await self._ask_store()
-            self._asked_at = None
+                await self._role.wait(self._is_too_old)
+            asked_at = self._requested_at = self._clock.now()
+            request, result = await self._ask_store()
+            self._requested_at = None
             match result:
                 case ConfigNews():
                     n_failed = 0
-                    if question is _Question.WATCH:
+                    if request is _Request.WATCH:
                         n_gone = 0
-                    self._take_news(question, result, asked_at)
+                    self._handle_news(request, result, asked_at)
                 case Probed():
                     n_failed = 0
                     self._regain_store()
                 case HistoryGone():
                     n_gone += 1
                     self._lose_history()
-                    await trio.sleep(self._patience.after(n_gone) / MS_PER_S)
+                    await trio.sleep(self._timeouts.backoff(n_gone) / MS_PER_S)
                 case StoreFailed(reason):
                     n_failed += 1
                     self._lose_store(reason)
                     # One that was silent has been waited for already.
-                    was_silent = self._clock.now() - asked_at > self._patience.again
+                    was_silent = (
+                        self._clock.now() - asked_at > self._timeouts.hedge_delay
+                    )
                     await self._pause(n_failed, was_silent)
 
-    def _take_news(
-        self, question: _Question, news: ConfigNews, asked_at: Milliseconds
+    def _handle_news(
+        self, request: _Request, news: ConfigNews, asked_at: Milliseconds
     ) -> None:
         """Take in what the store has answered."""
         self._regain_store()
         now = self._clock.now()
         self._is_first_read = False
-        if self._turn.now().is_due:
-            self._turn.set_hearing(Hearing.WATCHES)
-        is_sound = self._note_place(question, news, now)
-        self._tell_epoch()
+        if self._role.now().should_watch:
+            self._role.set_update_source(UpdateSource.STORE)
+        is_sound = self._note_place(request, news, now)
+        self._announce_epoch()
         if news.stored is not None:
-            self._check_order(news.stored, question)
+            self._check_order(news.stored, request)
             self.in_force.adopt(news.stored, "store")
         version = self.in_force.version
         if is_sound and self._view.proves(version, asked_at):
@@ -278,37 +282,37 @@
 
     def _regain_store(self) -> None:
         """Note that the store answers."""
-        self._heard_at = self._clock.now()
-        if self._turn.is_lost:
+        self._answered_at = self._clock.now()
+        if self._role.is_lost:
             self._tell.event("store-regained", what="configuration")
-        self._turn.is_lost = False
+        self._role.is_lost = False
 
     def _note_place(
-        self, question: _Question, news: ConfigNews, now: Milliseconds
+        self, request: _Request, news: ConfigNews, now: Milliseconds
     ) -> bool:
         """Note where the store is; return whether this is its newest place."""
         version = None if news.stored is None else news.stored.config.version
-        match question:
-            case _Question.WATCH:
+        match request:
+            case _Request.WATCH:
                 return self._view.note_watch(news.cursor, version, now)
-            case _Question.READ:
+            case _Request.READ:
                 self._view.note_read(news.cursor, version or 0, now)
                 return True
-            case _Question.READ_OLDER:
+            case _Request.READ_OLDER:
                 self._view.note_older_read(news.cursor, version or 0, now)
         return False
 
-    def _tell_epoch(self) -> None:
+    def _announce_epoch(self) -> None:
         """Let others know of an epoch that this node has heard first."""
-        before = self._epoch_heard
-        self._hear_epoch(self.epoch)
-        if self._epoch_heard != before:
+        before = self._highest_epoch
+        self._observe_epoch(self.epoch)
+        if self._highest_epoch != before:
             self.changed()
 
-    def _check_order(self, stored: StoredConfig, question: _Question) -> None:
+    def _check_order(self, stored: StoredConfig, request: _Request) -> None:
         """Tell of a store whose newest configuration is older than the one in force."""
         is_older = stored.config.version < self.in_force.version
-        if is_older and question is not _Question.READ_OLDER:
+        if is_older and request is not _Request.READ_OLDER:
             self._tell.event(
                 "store-behind",
                 version=stored.config.version,
@@ -324,10 +328,10 @@
 
     def _lose_store(self, reason: str) -> None:
         """Note that the store does not answer."""
-        if not self._turn.is_lost:
+        if not self._role.is_lost:
             self._tell.event("store-lost", what="configuration", cause=reason)
-        self._turn.is_lost = True
-        self._turn.set_hearing(Hearing.DEAF)
+        self._role.is_lost = True
+        self._role.set_update_source(UpdateSource.NONE)
 
     async def _pause(self, n_failed: int, was_silent: bool) -> None:
         """Wait until the store that failed is to be asked again.
@@ -341,54 +345,54 @@
             left = started + wait - self._clock.now()
             if left <= 0.0:
                 return
-            await trio.sleep(min(left, LOOK_MS) / MS_PER_S)
+            await trio.sleep(min(left, REFRESH_MS) / MS_PER_S)
 
     def _retry_after(
         self, n_failed: int, was_silent: bool, spread: float
     ) -> Milliseconds:
         """Return how long to wait after some failures in a row.
 
-        A question to a silent store has been repeated already while it waited.
+        A request to a silent store has been hedged already while it waited.
         """
-        if self._turn.now().others_watch:
+        if self._role.now().others_watch:
             return _RETRY_MAX_MS * spread
-        if self._turn.is_first():
-            return 0.0 if was_silent else self._patience.after(n_failed)
+        if self._role.is_first():
+            return 0.0 if was_silent else self._timeouts.backoff(n_failed)
         return min(_RETRY_OTHERS_MS * n_failed, _RETRY_MAX_MS) * spread
 
-    async def _ask_store(self) -> tuple[_Question, ConfigResult | Probed | None]:
+    async def _ask_store(self) -> tuple[_Request, ConfigResult | Probed | None]:
         """Read the configuration, or wait for the next one."""
         # A watch that a silent store drops would hide for long that it is back.
-        if self._turn.is_lost or self.store_age > self._patience.probe:
+        if self._role.is_lost or self.store_age > self._timeouts.probe_interval:
             heard = await self._ask_probe()
             if isinstance(heard.result, StoreFailed):
-                return _Question.PROBE, heard.result
+                return _Request.PROBE, heard.result
             self._note_epoch(heard.result.epoch)
-            was_away = self._turn.is_lost or heard.n_unanswered > 0
-            if was_away and await self._leave_to_others():
-                return _Question.PROBE, heard.result
+            was_away = self._role.is_lost or heard.n_dropped > 0
+            if was_away and await self._defer_to_others():
+                return _Request.PROBE, heard.result
         while True:
             cursor = self._view.cursor
             if cursor is None or not self._view.can_watch(self._clock.now()):
                 return await self._read()
             result = await self._watch(cursor)
             if result is not None:
-                return _Question.WATCH, result
+                return _Request.WATCH, result
             self._tell.event(
                 "watch-restarted", what="configuration", base=self.revision
             )
 
-    async def _leave_to_others(self) -> bool:
+    async def _defer_to_others(self) -> bool:
         """Whether another node is to ask the store that answers again.
 
         All notice at the same moment, and a node that has started meanwhile does not
         know yet which of them is first.
         """
         if self._is_first_read:
-            await trio.sleep(self._rng.random() * self._patience.again / MS_PER_S)
-        return self._turn.leave_to_others()
+            await trio.sleep(self._rng.random() * self._timeouts.hedge_delay / MS_PER_S)
+        return self._role.defer_to_others()
 
-    async def _read(self) -> tuple[_Question, ConfigResult | None]:
+    async def _read(self) -> tuple[_Request, ConfigResult | None]:
         """Read the configuration; None if another node sent the first one meanwhile.
 
         At its start a node takes one that may be seconds old, for a tenth of the price:
@@ -399,17 +403,17 @@
         else:
             cause = _Cause.START if self._is_first_read else _Cause.HISTORY_GONE
         is_older = cause is _Cause.START and self._bound is None
-        question = _Question.READ_OLDER if is_older else _Question.READ
+        request = _Request.READ_OLDER if is_older else _Request.READ
 
         async def ask() -> ConfigResult:
-            self._tell.store_call(question.value, cause.value)
+            self._tell.store_call(request.value, cause.value)
             return await self._store.read_config(recent=not is_older)
 
-        every = self._patience.again
+        every = self._timeouts.hedge_delay
         with trio.CancelScope() as self._first_read_scope:
-            heard = await ask_repeatedly(ask, every, self._suspect_store, self._growth)
-            return question, heard.result
-        return question, None
+            heard = await hedge(ask, every, self._suspect_store, self._growth)
+            return request, heard.result
+        return request, None
 
     async def _watch(self, cursor: Cursor) -> ConfigResult | None:
         """Wait for the next configuration as long as the store answers probes.
@@ -421,7 +425,7 @@
         async with trio.open_nursery() as nursery:
             self._watch_scope = nursery.cancel_scope
             nursery.start_soon(self._probe_until_lost, results, nursery.cancel_scope)
-            self._tell.store_call(_Question.WATCH.value, _Cause.WATCH.value)
+            self._tell.store_call(_Request.WATCH.value, _Cause.WATCH.value)
             results.append(await self._store.watch_config(cursor, self._watch_ms()))
             nursery.cancel_scope.cancel()
         self._watch_scope = None
@@ -441,40 +445,40 @@
 
         One change wakes all that watch; they do not probe at the same moments for that.
         """
-        wait = self._patience.probe * self._rng.random()
+        wait = self._timeouts.probe_interval * self._rng.random()
         is_sound = True
         while is_sound:
             await trio.sleep(wait / MS_PER_S)
-            wait = self._patience.probe
-            if not self._turn.now().is_due and not self._is_too_old():
+            wait = self._timeouts.probe_interval
+            if not self._role.now().should_watch and not self._is_too_old():
                 continue
             heard = await self._ask_probe()
             if isinstance(heard.result, StoreFailed):
                 results.append(heard.result)
                 break
             is_void = self._note_epoch(heard.result.epoch)
-            is_sound = not is_void and not heard.n_unanswered
+            is_sound = not is_void and not heard.n_dropped
         watch_scope.cancel()
 
     async def _doubt_watch(self, watch_scope: trio.CancelScope) -> None:
         """End a watch that does not tell of a version which other nodes have."""
-        await trio.sleep(self._patience.again / MS_PER_S)
+        await trio.sleep(self._timeouts.hedge_delay / MS_PER_S)
         watch_scope.cancel()
 
-    async def _ask_probe(self) -> Heard[ProbeResult]:
+    async def _ask_probe(self) -> FirstAnswer[ProbeResult]:
         return await self._probe.ask("liveness", self._suspect_store, self._growth)
 
     def _growth(self) -> float:
-        """Return how the time between repeated questions grows.
+        """Return how the delay between hedged requests grows.
 
         The first nodes of the data centres notice a return for all.
         """
-        return 1.0 if self._turn.is_first() else _GROWTH_OTHERS
+        return 1.0 if self._role.is_first() else _GROWTH_OTHERS
 
     def _note_epoch(self, epoch: int) -> bool:
         """Take in what a probe tells; return whether the cursor is void by it."""
         is_void = self._view.note_epoch(epoch, self._clock.now())
-        self._tell_epoch()
+        self._announce_epoch()
         return is_void
 
     def _suspect_store(self) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -15,7 +15,7 @@
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.fingerprint import FINGERPRINT_BYTES
 from fuchsiagap.core.quarantine.quarantine import Crash, Held
-from fuchsiagap.core.watching.turn import Hearing
+from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
     PROTOCOL,
@@ -97,7 +97,7 @@
                 m.failing,
                 m.warming,
                 m.version,
-                int(m.hearing),
+                int(m.update_source),
                 m.service_ms,
                 m.epoch,
             ]
@@ -189,7 +189,7 @@
     message = cast("Message", _KINDS[kind](*rest))
     if isinstance(message, Status):
         _check_status(message)
-        return replace(message, hearing=Hearing(message.hearing))
+        return replace(message, update_source=UpdateSource(message.update_source))
     if isinstance(message, Call):
         _check_call(message)
     elif isinstance(message, ConfigText):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.placement.choice import service_fullness
-from fuchsiagap.core.watching.turn import Hearing
+from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap_node.core.mesh.telling import Gauge
 
 if TYPE_CHECKING:
@@ -30,10 +30,11 @@
     yield Gauge("store_revision", "", config.revision)
     yield Gauge("config_adopted_age_ms", "", round(config.in_force.adopted_age))
     yield Gauge("store_heard_age_ms", "", round(config.store_age))
-    yield Gauge("store_question_age_ms", "", round(config.question_age))
-    for hearing in Hearing:
-        labels = f'how="{hearing.name.lower()}"'
-        yield Gauge("config_hearing", labels, float(config.hearing is hearing))
+    yield Gauge("store_request_age_ms", "", round(config.request_age))
+    for source in UpdateSource:
+        labels = f'source="{source.name.lower()}"'
+        is_it = config.update_source is source
+        yield Gauge("config_update_source", labels, float(is_it))
 
 
 def door_gauges(door: Door) -> Iterator[Gauge]:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/repeated_question.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/hedging.py
@@ -1,4 +1,4 @@
-"""Asks a question again while it has no answer, without giving up on the first."""
+"""Hedged requests: sent again while without an answer, and the first one counts."""
 
 from __future__ import annotations
 
@@ -17,19 +17,19 @@
 Result = TypeVar("Result")
 
 
-class Heard(NamedTuple, Generic[Result]):
-    """What came first.
+class FirstAnswer(NamedTuple, Generic[Result]):
+    """The answer that came first.
 
     Parameters
     ----------
     result : object
         The result.
-    n_unanswered : int
-        Questions asked before the one that it answers.
+    n_dropped : int
+        Requests sent before the one that it answers.
     """
 
     result: Result
-    n_unanswered: int
+    n_dropped: int
 
 
 def _no_growth() -> float:
@@ -37,13 +37,13 @@
     return 1.0
 
 
-async def ask_repeatedly(
+async def hedge(
     ask: Callable[[], Awaitable[Result]],
     every: Milliseconds,
     on_silence: Callable[[], None],
     growth: Callable[[], float] = _no_growth,
-) -> Heard[Result]:
-    """Return the first result of a question that is asked again and again.
+) -> FirstAnswer[Result]:
+    """Return the first result of a request that is sent again and again.
 
     A store that answers slowly answers the first one, and one that has dropped what was
     asked while it was silent answers the first that it gets afterwards.
@@ -51,19 +51,19 @@
     Parameters
     ----------
     ask : callable
-        Asks once; ends by itself.
+        Sends the request once; ends by itself.
     every : float
-        Milliseconds between two questions.
+        Milliseconds between two requests.
     on_silence : callable
-        Told that a second question has no answer either.
+        Told that a second request has no answer either.
     growth : callable, optional
-        Returns by what that time grows from one question to the next.
+        Returns by what that time grows from one request to the next.
     """
-    heard: list[Heard[Result]] = []
+    answers: list[FirstAnswer[Result]] = []
     answered = trio.Event()
 
     async def ask_one(number: int) -> None:
-        heard.append(Heard(await ask(), number))
+        answers.append(FirstAnswer(await ask(), number))
         answered.set()
 
     async with trio.open_nursery() as nursery:
@@ -76,4 +76,4 @@
             if answered.is_set():
                 break
         nursery.cancel_scope.cancel()
-    return heard[0]
+    return answers[0]
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/knowledge_exchange.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/knowledge_exchange.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.freshness.sources import Source, Sources
-from fuchsiagap.core.watching.turn import Hearing
+from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap_node.core.mesh.messages import Age, AgeWanted
 
 if TYPE_CHECKING:
@@ -84,7 +84,7 @@
         }
         links = {link.member.node: link for link in self._links() if link.is_heard()}
         nodes = [
-            Source(name, link.hearing is Hearing.WATCHES, link.target.local)
+            Source(name, link.update_source is UpdateSource.STORE, link.target.local)
             for name, link in links.items()
         ]
         is_urgent = age > self._bound * _URGENT_AT
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -7,8 +7,8 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
-from fuchsiagap.core.freshness.patience import patience_within
-from fuchsiagap_node.core.mesh.repeated_question import ask_repeatedly
+from fuchsiagap.core.freshness.store_timeouts import timeouts_within
+from fuchsiagap_node.core.mesh.hedging import hedge
 from fuchsiagap_node.core.mesh.store import Members
 from fuchsiagap_node.core.mesh.store_probe import StoreProbe
 
@@ -96,8 +96,8 @@
         self._links = links
         self._store = store
         self._first_start = cfg.first_start
-        self._patience = patience_within(cfg.bounds.change)
-        self._probe = StoreProbe(store, own.node, self._patience, teller)
+        self._timeouts = timeouts_within(cfg.bounds.change)
+        self._probe = StoreProbe(store, own.node, self._timeouts, teller)
         self._clock = clock
         self._rng = rng
         self._tell = teller
@@ -107,7 +107,7 @@
 
     def adopt_bounds(self, bounds: Bounds) -> None:
         """Follow a bound on changes that has been set anew."""
-        self._patience = self._probe.patience = patience_within(bounds.change)
+        self._timeouts = self._probe.timeouts = timeouts_within(bounds.change)
 
     async def run(self) -> None:
         """Announce this node and follow the store until cancelled."""
@@ -190,7 +190,7 @@
 
     async def _list(self, cause: str) -> Mapping[str, Member]:
         """Follow a list of all nodes, however long it takes to get one."""
-        wait = self._patience.pause
+        wait = self._timeouts.initial_backoff
         failing = False
 
         async def ask() -> MembersResult:
@@ -198,8 +198,8 @@
             return await self._store.read_members(recent=False)
 
         while True:
-            every = self._patience.again
-            result = (await ask_repeatedly(ask, every, _ignore, self._growth)).result
+            every = self._timeouts.hedge_delay
+            result = (await hedge(ask, every, _ignore, self._growth)).result
             if isinstance(result, Members):
                 if failing:
                     self._tell.event("store-regained", what="members")
@@ -214,7 +214,7 @@
             failing = True
             await trio.sleep(wait / MS_PER_S)
             is_alone = self._is_alone()
-            longest = self._patience.most_pause if is_alone else _RETRY_LIST_MAX_MS
+            longest = self._timeouts.max_backoff if is_alone else _RETRY_LIST_MAX_MS
             wait = min(2.0 * wait, longest)
 
     def _growth(self) -> float:
@@ -226,7 +226,7 @@
         return not any(link.is_heard() for link in self._links)
 
     async def _announce(self, cause: str) -> None:
-        wait = 2.0 * self._patience.again
+        wait = 2.0 * self._timeouts.hedge_delay
         while (failed := await self._announce_once(cause, wait)) is not None:
             self._tell.event("announce-failed", cause=failed)
             wait = min(2.0 * wait, _ANNOUNCE_MS)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -7,7 +7,7 @@
 
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.quarantine import Crash, Held
-from fuchsiagap.core.watching.turn import Hearing
+from fuchsiagap.core.watching.watcher_rank import UpdateSource
 
 if TYPE_CHECKING:
     from fuchsiagap_node.core.mesh.outcome import Outcome
@@ -63,7 +63,7 @@
         Whether the server is in its warm-up.
     version : int
         Version of the configuration that this node has adopted.
-    hearing : Hearing
+    update_source : UpdateSource
         How this node hears of newer ones.
     service_ms : int
         Milliseconds that a request is at the server; 0 if not known.
@@ -78,7 +78,7 @@
     failing: float
     warming: bool
     version: int
-    hearing: Hearing = Hearing.RELIES
+    update_source: UpdateSource = UpdateSource.PEERS
     service_ms: int = 0
     epoch: int = NO_EPOCH
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -19,7 +19,7 @@
 from fuchsiagap_node.core.mesh import poller
 from fuchsiagap_node.core.mesh.admission import STEP_MS, Admission
 from fuchsiagap_node.core.mesh.callers import SWEEP_MS, CallerEdge
-from fuchsiagap_node.core.mesh.config_sync import LOOK_MS as CONFIG_LOOK_MS
+from fuchsiagap_node.core.mesh.config_sync import REFRESH_MS as CONFIG_REFRESH_MS
 from fuchsiagap_node.core.mesh.config_sync import ConfigSync
 from fuchsiagap_node.core.mesh.crash_reports import FLUSH_MS as CLEARANCES_MS
 from fuchsiagap_node.core.mesh.door import Door
@@ -214,7 +214,7 @@
             (_LOAD_LINE_MS, self._tell_load),
             (LINK_LOOK_MS, self._links.look),
             (_CHOOSE_LINKS_MS, self._links.choose),
-            (CONFIG_LOOK_MS, self._config.look),
+            (CONFIG_REFRESH_MS, self._config.refresh),
             (SWEEP_MS, self._callers.close_silent),
             (CLEARANCES_MS, self.reports.flush),
             (_SETTINGS_MS, self.check_settings),
@@ -223,16 +223,16 @@
         self._workspaces.schedule(self._ticker)
 
     def _prepare_link(self, link: SendingLink) -> None:
-        link.on_status = self._take_status_of
+        link.on_status = self._handle_status_of
         link.on_config = lambda text: self._config.adopt_text(text, link.member.node)
         link.on_report = self.reports.handle
         link.heard_elsewhere = partial(self._taking.heard_at, link.member.node)
         self._workspaces.prepare_link(link)
         link.send_snapshot = self.reports.send_snapshot
 
-    def _take_status_of(self, link: SendingLink) -> None:
+    def _handle_status_of(self, link: SendingLink) -> None:
         """Follow what another node says of itself and of its server."""
-        self._config.hear_peer(link)
+        self._config.handle_peer_status(link)
         target = link.target
         self.reports.resolve_server(target.node, target.service, target.instance)
         if not self._is_caught_up:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_status.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/own_status.py
@@ -44,7 +44,7 @@
             round(door.failing(), 1),
             door.is_warming(),
             self._config.in_force.version,
-            self._config.hearing,
+            self._config.update_source,
             self._told_ms(),
             self._config.epoch,
         )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/sending.py
@@ -11,7 +11,7 @@
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.placement.choice import Target
 from fuchsiagap.core.quarantine.quarantine import Crash, Held
-from fuchsiagap.core.watching.turn import Hearing
+from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap_node.core.mesh.frames import BadFrame
 from fuchsiagap_node.core.mesh.link import FramedLink
 from fuchsiagap_node.core.mesh.messages import (
@@ -107,7 +107,7 @@
         Version of the configuration that the node has adopted.
     epoch : int
         Epoch of the store, as the node last heard from it.
-    hearing : Hearing
+    update_source : UpdateSource
         How the node hears of newer ones.
     on_config : callable
         Told the configuration that the node sends.
@@ -147,7 +147,7 @@
         self.target = Target(member.node, "", member.service, local, usable=False)
         self.version = 0
         self.epoch = NO_EPOCH
-        self.hearing = Hearing.RELIES
+        self.update_source = UpdateSource.PEERS
         # Of two nodes that are linked both ways, one asks first and the other is heard.
         is_first = hello.node < member.node
         self._idle_ping = _IDLE_PING_MS if is_first else _IDLE_PING_MS + LOOK_MS
@@ -326,7 +326,7 @@
         target.service_ms = status.service_ms
         self.version = status.version
         self.epoch = status.epoch
-        self.hearing = status.hearing
+        self.update_source = status.update_source
         self.on_status(self)
 
     def _lose(self, link: FramedLink) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store_probe.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store_probe.py
@@ -1,4 +1,4 @@
-"""Asks the store whether it answers, for a tenth of the price of another question."""
+"""Probes whether the store answers, for a tenth of the price of another request."""
 
 from __future__ import annotations
 
@@ -7,14 +7,14 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
-from fuchsiagap_node.core.mesh.repeated_question import ask_repeatedly
+from fuchsiagap_node.core.mesh.hedging import hedge
 from fuchsiagap_node.core.mesh.store import StoreFailed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from fuchsiagap.core.freshness.patience import Patience
-    from fuchsiagap_node.core.mesh.repeated_question import Heard
+    from fuchsiagap.core.freshness.store_timeouts import StoreTimeouts
+    from fuchsiagap_node.core.mesh.hedging import FirstAnswer
     from fuchsiagap_node.core.mesh.store import ProbeResult, Store
     from fuchsiagap_node.core.mesh.telling import Teller
 
@@ -28,18 +28,18 @@
         The platform's store.
     node : str
         This node, whose entry is asked for.
-    patience : Patience
+    timeouts : StoreTimeouts
         Waits for the store; may be set anew.
     teller : Teller
         Counters.
     """
 
     def __init__(
-        self, store: Store, node: str, patience: Patience, teller: Teller
+        self, store: Store, node: str, timeouts: StoreTimeouts, teller: Teller
     ) -> None:
         self._store = store
         self._node = node
-        self.patience = patience
+        self.timeouts = timeouts
         self._tell = teller
 
     async def ask(
@@ -47,7 +47,7 @@
         cause: str,
         on_silence: Callable[[], None],
         growth: Callable[[], float],
-    ) -> Heard[ProbeResult]:
+    ) -> FirstAnswer[ProbeResult]:
         """Ask again and again while there is no answer; return the first.
 
         Parameters
@@ -55,17 +55,17 @@
         cause : str
             Why, for the counter of calls.
         on_silence : callable
-            Told that a second question has no answer either.
+            Told that a second request has no answer either.
         growth : callable
-            Returns by what the time between two questions grows.
+            Returns by what the time between two requests grows.
         """
 
         async def ask_once() -> ProbeResult:
             self._tell.store_call("probe", cause)
             return await self._store.probe(self._node)
 
-        every = self.patience.again
-        return await ask_repeatedly(ask_once, every, on_silence, growth)
+        every = self.timeouts.hedge_delay
+        return await hedge(ask_once, every, on_silence, growth)
 
     async def find_entry(self, cause: str) -> bool:
         """Wait until the store answers; return whether it has this node's entry."""
@@ -75,11 +75,11 @@
             if not isinstance(probed, StoreFailed):
                 return probed.is_listed
             n_failed += 1
-            await trio.sleep(self.patience.after(n_failed) / MS_PER_S)
+            await trio.sleep(self.timeouts.backoff(n_failed) / MS_PER_S)
 
 
 def _doubling() -> float:
-    """Return that the time between two questions doubles."""
+    """Return that the time between two requests doubles."""
     return 2.0
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/watch_turn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/watcher_role.py
@@ -1,4 +1,4 @@
-"""Whether it is this node's turn to ask the store for the configuration."""
+"""Whether this node is to watch the store for changes of the configuration."""
 
 from __future__ import annotations
 
@@ -6,7 +6,12 @@
 
 import trio
 
-from fuchsiagap.core.watching.turn import Hearing, Neighbour, Turn, turn_of
+from fuchsiagap.core.watching.watcher_rank import (
+    Neighbour,
+    UpdateSource,
+    WatcherRank,
+    rank_of,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -26,8 +31,8 @@
 _SETTLE_FIRST_START_MS = 6_000.0
 
 
-class WatchTurn:
-    """The place of this node among those that may watch.
+class WatcherRole:
+    """The rank of this node among those that may watch.
 
     Parameters
     ----------
@@ -42,12 +47,12 @@
 
     Attributes
     ----------
-    hearing : Hearing
+    update_source : UpdateSource
         How this node hears of changes.
     is_lost : bool
-        Whether the store did not answer the last question.
+        Whether the store did not answer the last request.
     changed : callable
-        Told that `hearing` has changed.
+        Told that `update_source` has changed.
     """
 
     def __init__(
@@ -64,7 +69,7 @@
         self._settled_at = clock.now() + settle
         self._due_since: Milliseconds | None = None
         self._may_ask = trio.Event()
-        self.hearing = Hearing.RELIES
+        self.update_source = UpdateSource.PEERS
         self.is_lost = False
         self.changed: Callable[[], None] = _ignore
 
@@ -73,20 +78,22 @@
         """Whether the node has had time to link others."""
         return self._clock.now() >= self._settled_at
 
-    def now(self) -> Turn:
-        """Return the turn as the links show it now."""
+    def now(self) -> WatcherRank:
+        """Return the rank as the links show it now."""
         near = (
-            Neighbour(link.member.node, link.hearing)
+            Neighbour(link.member.node, link.update_source)
             for link in self._links()
             if link.target.local and link.is_heard()
         )
-        return turn_of(self._own.node, near, self.n_watchers())
+        return rank_of(self._own.node, near, self.n_watchers())
 
     def n_watchers(self) -> int:
         """Return how many nodes are to watch in each data centre."""
         own = self._own.data_centre
-        places = {link.member.data_centre for link in self._links() if link.is_heard()}
-        enough = len(places - {own}) >= _ENOUGH_ELSEWHERE
+        data_centres = {
+            link.member.data_centre for link in self._links() if link.is_heard()
+        }
+        enough = len(data_centres - {own}) >= _ENOUGH_ELSEWHERE
         return _WATCHERS if enough else _WATCHERS_ALONE
 
     def is_first(self) -> bool:
@@ -94,42 +101,43 @@
         return self.now().is_first(self.n_watchers())
 
     async def wait(self, is_urgent: Callable[[], bool]) -> None:
-        """Wait until it is this node's turn, or it cannot wait for others."""
+        """Wait until this node is to watch, or cannot wait for others."""
         self._may_ask = trio.Event()
-        self.look(is_urgent)
+        self.refresh(is_urgent)
         await self._may_ask.wait()
 
-    def look(self, is_urgent: Callable[[], bool]) -> None:
-        """Look whether it is this node's turn to ask the store."""
-        turn = self.now()
+    def refresh(self, is_urgent: Callable[[], bool]) -> None:
+        """Update whether this node is to watch the store."""
+        rank = self.now()
         if is_urgent():
             self._may_ask.set()
-        if not turn.is_due:
+        if not rank.should_watch:
             self._due_since = None
-            self.set_hearing(Hearing.RELIES)
+            self.set_update_source(UpdateSource.PEERS)
             return
         now = self._clock.now()
         if self._due_since is None:
             self._due_since = now
         n_watchers = self.n_watchers()
-        if now < max(self._due_since + turn.patience(n_watchers), self._settled_at):
+        due_at = self._due_since + rank.takeover_delay(n_watchers)
+        if now < max(due_at, self._settled_at):
             return
-        if self.is_lost and turn.others_watch and not turn.is_first(n_watchers):
+        if self.is_lost and rank.others_watch and not rank.is_first(n_watchers):
             return
         self._may_ask.set()
 
-    def leave_to_others(self) -> bool:
+    def defer_to_others(self) -> bool:
         """Whether one before this node is to ask the store that answers again."""
-        if self.is_first() and self.now().is_due:
+        if self.is_first() and self.now().should_watch:
             return False
         self._due_since = None
-        self.set_hearing(Hearing.RELIES)
+        self.set_update_source(UpdateSource.PEERS)
         return True
 
-    def set_hearing(self, hearing: Hearing) -> None:
+    def set_update_source(self, update_source: UpdateSource) -> None:
         """Take in how this node hears of changes."""
-        if self.hearing is not hearing:
-            self.hearing = hearing
+        if self.update_source is not update_source:
+            self.update_source = update_source
             self.changed()
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/workspaces.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/workspaces.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from fuchsiagap.core.watching.turn import Hearing
+from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap.core.workspaces.grants import SWEEP_MS
 from fuchsiagap_node.core.mesh.knowledge_exchange import LOOK_MS as AGE_LOOK_MS
 from fuchsiagap_node.core.mesh.knowledge_exchange import KnowledgeExchange
@@ -74,7 +74,7 @@
             config, links, cfg.bounds.revocation, clock, rng
         )
         owners = QuotaOwners(
-            own, links, lambda: config.hearing is Hearing.WATCHES, clock
+            own, links, lambda: config.update_source is UpdateSource.STORE, clock
         )
         self.quotas = Quotas(owners, self._post, cfg.first_start, clock, teller)
         self.check = WorkspaceCheck(
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
@@ -28,9 +28,9 @@
                 host = deployment.add("certs")
                 await deployment.settle()
                 await trio.sleep(1.0)
-                early = (await metrics_of(host))["fuchsiagap_store_question_age_ms{}"]
+                early = (await metrics_of(host))["fuchsiagap_store_request_age_ms{}"]
                 await trio.sleep(2.0)
-                late = (await metrics_of(host))["fuchsiagap_store_question_age_ms{}"]
+                late = (await metrics_of(host))["fuchsiagap_store_request_age_ms{}"]
                 return late - early
 
         self.assertAlmostEqual(2_000.0, run_in_memory(main), delta=5.0)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_repeated_question.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_hedging.py
@@ -3,7 +3,7 @@
 import trio
 from testtools import TestCase
 
-from fuchsiagap_node.core.mesh.repeated_question import ask_repeatedly
+from fuchsiagap_node.core.mesh.hedging import hedge
 from fuchsiagap_standins.mesh.virtual import run_in_memory
 
 EVERY_MS = 400.0
@@ -21,7 +21,7 @@
 
     async def main():
         start = trio.current_time()
-        heard = await ask_repeatedly(
+        heard = await hedge(
             ask, EVERY_MS, lambda: silences.append(trio.current_time() - start)
         )
         return heard, round(trio.current_time() - start, 3)
@@ -30,7 +30,7 @@
     return heard, took, len(asked), [round(at, 3) for at in silences]
 
 
-class TestAskRepeatedly(TestCase):
+class TestHedge(TestCase):
     def test_answer_in_time_is_the_only_question(self):
         heard, took, n_asked, silences = play([0.1])
         self.assertEqual(("answer 0", 0), heard)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_watching.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_watching.py
@@ -34,8 +34,8 @@
 
 
 def watchers(hosts):
-    """Return the hosts whose turn it is to ask the store."""
-    return [host for host in hosts if host.node._config._turn.now().is_due]
+    """Return the hosts that are to watch the store."""
+    return [host for host in hosts if host.node._config._role.now().should_watch]
 
 
 class TestCalls(TestCase):
--- a/packages/fuchsiagap/src/fuchsiagap/core/freshness/patience.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/freshness/store_timeouts.py
@@ -13,40 +13,40 @@
 if TYPE_CHECKING:
     from fuchsiagap.core.clock import Milliseconds
 
-# Shares of the bound; see `Patience`.
-_AGAIN_SHARE = 0.2
+# Shares of the bound; see `StoreTimeouts`.
+_HEDGE_SHARE = 0.2
 _PROBE_SHARE = 0.6
-_PAUSE_SHARE = 0.075
-_MOST_PAUSE_SHARE = 0.25
+_BACKOFF_SHARE = 0.075
+_MAX_BACKOFF_SHARE = 0.25
 _MOST_DOUBLINGS = 16
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
+class StoreTimeouts:
     """Waits for the store, in milliseconds.
 
     Parameters
     ----------
-    again : float
-        Until a question that has no answer is asked once more beside it.
-    probe : float
+    hedge_delay : float
+        Until a request that has no answer is hedged by another one.
+    probe_interval : float
         Between two probes of the store while a watch waits.
-    pause, most_pause : float
-        Until a store that turned a question away is asked again, at first and at most.
+    initial_backoff, max_backoff : float
+        Until a store that turned a request away is asked again, at first and at most.
     """
 
-    again: Milliseconds
-    probe: Milliseconds
-    pause: Milliseconds
-    most_pause: Milliseconds
+    hedge_delay: Milliseconds
+    probe_interval: Milliseconds
+    initial_backoff: Milliseconds
+    max_backoff: Milliseconds
 
-    def after(self, n_failed: int) -> Milliseconds:
+    def backoff(self, n_failed: int) -> Milliseconds:
         """Return the pause after so many failures in a row."""
-        doubled = self.pause * 2.0 ** min(n_failed - 1, _MOST_DOUBLINGS)
-        return min(doubled, self.most_pause)
+        doubled = self.initial_backoff * 2.0 ** min(n_failed - 1, _MOST_DOUBLINGS)
+        return min(doubled, self.max_backoff)
 
 
-def patience_within(bound: Milliseconds) -> Patience:
+def timeouts_within(bound: Milliseconds) -> StoreTimeouts:
     """Return the waits that leave a change time to be in force within a bound.
 
     Parameters
@@ -54,9 +54,9 @@
     bound : float
         Milliseconds from the acknowledgement of a change until it is in force.
     """
-    return Patience(
-        bound * _AGAIN_SHARE,
+    return StoreTimeouts(
+        bound * _HEDGE_SHARE,
         bound * _PROBE_SHARE,
-        bound * _PAUSE_SHARE,
-        bound * _MOST_PAUSE_SHARE,
+        bound * _BACKOFF_SHARE,
+        bound * _MAX_BACKOFF_SHARE,
     )
--- a/packages/fuchsiagap/src/fuchsiagap/core/freshness/store_view.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/freshness/store_view.py
@@ -60,7 +60,7 @@
         self._settle = settle
         self._sound_from: Milliseconds = float("-inf")
         self._as_of: Milliseconds = float("-inf")
-        self._told_epoch = NO_EPOCH
+        self._peer_epoch = NO_EPOCH
         self.epoch = NO_EPOCH
         self.cursor: Cursor | None = None
         self.version = 0
@@ -70,7 +70,7 @@
         if epoch in (NO_EPOCH, self.epoch):
             return False
         cursor_epoch = NO_EPOCH if self.cursor is None else self.cursor.epoch
-        if {self.epoch, self._told_epoch, cursor_epoch} - {NO_EPOCH, epoch}:
+        if {self.epoch, self._peer_epoch, cursor_epoch} - {NO_EPOCH, epoch}:
             self._sound_from = now + self._settle
         self.epoch = epoch
         if cursor_epoch in (NO_EPOCH, epoch):
@@ -78,10 +78,10 @@
         self.cursor = None
         return True
 
-    def note_told_epoch(self, epoch: int) -> None:
+    def note_peer_epoch(self, epoch: int) -> None:
         """Take in an epoch that another node knows, before the store has told one."""
         if self.epoch == NO_EPOCH and epoch != NO_EPOCH:
-            self._told_epoch = epoch
+            self._peer_epoch = epoch
 
     def note_read(self, cursor: Cursor, version: int, now: Milliseconds) -> None:
         """Take in that a version was the newest when the store was asked."""
--- a/packages/fuchsiagap/src/fuchsiagap/core/watching/turn.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/watching/watcher_rank.py
@@ -1,4 +1,4 @@
-"""Whose turn it is to watch the store, decided by each node for itself.
+"""Which nodes watch the store, decided by each node for itself.
 
 Where every node watches, one change of the configuration wakes all of them, and each
 call is paid for: 195 nodes made 14 calls each in 49 s, with three changes. Here the
@@ -25,20 +25,20 @@
 # Milliseconds for which a node waits, for each that stands before it, until it asks a
 # store that does not answer those: one that turns a third of the nodes away is heard of
 # by one of the first three in 26 of 27 cases, and one that is away is not asked by all.
-_A_PLACE_MS = 800.0
+_TAKEOVER_MS = 800.0
 
 
-class Hearing(IntEnum):
+class UpdateSource(IntEnum):
     """How a node hears of changes.
 
-    One that is deaf stays so until the store answers it again or one before it hears of
-    changes. If it counted as hearing because one behind it does, the two would rely on
-    each other.
+    One without a source stays so until the store answers it again or one before it has
+    a source. If it counted as having one because a node behind it does, the two would
+    rely on each other.
     """
 
-    RELIES = 0  # on another node
-    WATCHES = 1  # and the store has answered
-    DEAF = 2  # the store does not answer
+    PEERS = 0  # other nodes
+    STORE = 1  # it watches the store, which has answered
+    NONE = 2  # the store does not answer, and no node before it has a source
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,43 +49,43 @@
     ----------
     name : str
         Its name.
-    hearing : Hearing
+    update_source : UpdateSource
         How it hears of changes.
     """
 
     name: str
-    hearing: Hearing
+    update_source: UpdateSource
 
 
 @dataclass(frozen=True, slots=True)
-class Turn:
+class WatcherRank:
     """Whether a node is to ask the store, and after which others.
 
     Parameters
     ----------
-    is_due : bool
+    should_watch : bool
         Whether too few of those before it hear of changes.
-    place : int
+    position : int
         How many of those that are in reach stand before it.
     others_watch : bool
         Whether one of them, before or behind it, watches.
     """
 
-    is_due: bool
-    place: int
+    should_watch: bool
+    position: int
     others_watch: bool
 
     def is_first(self, n_watchers: int) -> bool:
         """Whether it would watch where all hear of changes."""
-        return self.place < n_watchers
+        return self.position < n_watchers
 
-    def patience(self, n_watchers: int) -> Milliseconds:
-        """Return how long its turn must have come before it asks."""
-        return max(self.place - n_watchers + 1, 0) * _A_PLACE_MS
+    def takeover_delay(self, n_watchers: int) -> Milliseconds:
+        """Return how long it must have been to watch before it asks."""
+        return max(self.position - n_watchers + 1, 0) * _TAKEOVER_MS
 
 
-def turn_of(own: str, neighbours: Iterable[Neighbour], n_watchers: int) -> Turn:
-    """Return the turn of a node.
+def rank_of(own: str, neighbours: Iterable[Neighbour], n_watchers: int) -> WatcherRank:
+    """Return the rank of a node.
 
     Parameters
     ----------
@@ -96,11 +96,11 @@
     n_watchers : int
         Nodes that watch in each data centre where all hear of changes.
     """
-    place = n_hearing = 0
+    position = n_updated = 0
     others_watch = False
     for one in neighbours:
-        others_watch |= one.hearing is Hearing.WATCHES
+        others_watch |= one.update_source is UpdateSource.STORE
         if one.name < own:
-            place += 1
-            n_hearing += one.hearing is not Hearing.DEAF
-    return Turn(n_hearing < n_watchers, place, others_watch)
+            position += 1
+            n_updated += one.update_source is not UpdateSource.NONE
+    return WatcherRank(n_updated < n_watchers, position, others_watch)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_all_returns.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_all_returns.py
@@ -76,7 +76,7 @@
         view._as_of,
         view._sound_from,
         view.epoch,
-        view._told_epoch,
+        view._peer_epoch,
         view.cursor,
         view.version,
     ) = node.view
@@ -89,7 +89,7 @@
         view._as_of,
         view._sound_from,
         view.epoch,
-        view._told_epoch,
+        view._peer_epoch,
         view.cursor,
         view.version,
     )
@@ -167,7 +167,7 @@
 def can_tell(world, view):
     """Whether a node that hears from the store can tell that it has come back."""
     cursor_epoch = world.epoch if view.cursor is None else view.cursor.epoch
-    heard_of = {view.epoch, view._told_epoch, cursor_epoch} - {-1, world.epoch}
+    heard_of = {view.epoch, view._peer_epoch, cursor_epoch} - {-1, world.epoch}
     return world.returned_at is None or view.epoch == world.epoch or bool(heard_of)
 
 
@@ -183,7 +183,7 @@
 def told(world, node, other):
     """Return a node to which another one has passed on what it has."""
     view = view_of(node)
-    view.note_told_epoch(view_of(other).epoch)
+    view.note_peer_epoch(view_of(other).epoch)
     node = with_view(node, view)
     if other.in_force > node.in_force:
         node = adopted(node, other.in_force, other.stored_at)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_store_view.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_store_view.py
@@ -99,10 +99,10 @@
 
     def test_node_that_starts_after_a_return_knows_of_it_from_others(self):
         view = StoreView(SETTLE_MS)
-        view.note_told_epoch(3)
+        view.note_peer_epoch(3)
         view.note_read(Cursor(4, 20), 7, 0.0)
         self.assertFalse(view.proves(7, SETTLE_MS - 1.0))
         late = StoreView(SETTLE_MS)
-        late.note_told_epoch(4)
+        late.note_peer_epoch(4)
         late.note_read(Cursor(4, 20), 7, 0.0)
         self.assertTrue(late.proves(7, 0.0))
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/watching/test_turn.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/watching/test_watcher_rank.py
@@ -1,49 +1,51 @@
-"""Whose turn it is to watch, in random networks of links too."""
+"""Which nodes watch, in random networks of links too."""
 
 import random
 
 from testtools import TestCase
 
-from fuchsiagap.core.watching.turn import Hearing, Neighbour, turn_of
+from fuchsiagap.core.watching.watcher_rank import Neighbour, UpdateSource, rank_of
 
 
 def neighbours(*names, deaf=()):
     """Return nodes in reach, of which some are deaf."""
     return [
-        Neighbour(name, Hearing.DEAF if name in deaf else Hearing.RELIES)
+        Neighbour(name, UpdateSource.NONE if name in deaf else UpdateSource.PEERS)
         for name in names
     ]
 
 
-class TestTurn(TestCase):
+class TestWatcherRank(TestCase):
     def test_first_of_a_data_centre_watches(self):
-        self.assertTrue(turn_of("a", neighbours("b", "c"), 1).is_due)
+        self.assertTrue(rank_of("a", neighbours("b", "c"), 1).should_watch)
 
     def test_those_behind_a_watcher_do_not(self):
-        self.assertFalse(turn_of("c", neighbours("a", "d"), 1).is_due)
+        self.assertFalse(rank_of("c", neighbours("a", "d"), 1).should_watch)
 
     def test_node_alone_watches(self):
-        self.assertTrue(turn_of("c", [], 1).is_due)
+        self.assertTrue(rank_of("c", [], 1).should_watch)
 
     def test_next_one_watches_where_the_first_is_deaf(self):
-        turn = turn_of("b", neighbours("a", "c", deaf="a"), 1)
-        self.assertTrue(turn.is_due)
-        self.assertFalse(turn.is_first(1))
-        self.assertGreater(turn.patience(1), 0.0)
+        rank = rank_of("b", neighbours("a", "c", deaf="a"), 1)
+        self.assertTrue(rank.should_watch)
+        self.assertFalse(rank.is_first(1))
+        self.assertGreater(rank.takeover_delay(1), 0.0)
 
     def test_as_many_watch_as_are_asked_for(self):
         names = "abcdef"
         watching = [
             own
             for own in names
-            if turn_of(own, neighbours(*names.replace(own, "")), 2).is_due
+            if rank_of(own, neighbours(*names.replace(own, "")), 2).should_watch
         ]
         self.assertEqual(["a", "b"], watching)
 
     def test_later_ones_wait_longer_for_a_store_that_answers_nobody(self):
         names = "abcdef"
         waits = [
-            turn_of(own, neighbours(*names.replace(own, ""), deaf=names), 1).patience(1)
+            rank_of(
+                own, neighbours(*names.replace(own, ""), deaf=names), 1
+            ).takeover_delay(1)
             for own in names
         ]
         self.assertEqual(sorted(set(waits)), waits)
@@ -65,7 +67,7 @@
         }
         for name in names:
             at = name
-            while not turn_of(at, neighbours(*links[at], deaf=deaf), 1).is_due:
+            while not rank_of(at, neighbours(*links[at], deaf=deaf), 1).should_watch:
                 at = min(n for n in links[at] if n not in deaf)
             # Whoever the chain ends at asks the store, and is not known to fail.
             self.assertTrue(at == name or at not in deaf)
