Count a node whose store answers probes again among those that watch

Cause: after a silence the first node of a data centre asks its watch again, but said until the next news that the store does not answer it, as only news was an answer; so those behind it took over one after the other, and a node that is cut off by itself handed out no quotas.

An answered probe is an answer: it ends the loss, and who is to watch says that it does.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_requests.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_requests.py
@@ -83,6 +83,8 @@
         When the store last answered; at first, when this node started.
     on_silence : callable
         Told that the store does not answer.
+    on_answer : callable
+        Told that the store answers.
     on_epoch : callable
         Told that the view may have another epoch.
     is_urgent : callable
@@ -114,6 +116,7 @@
         self.is_first_read = True
         self.answered_at = clock.now()
         self.on_silence: Callable[[], None] = _ignore
+        self.on_answer: Callable[[], None] = _ignore
         self.on_epoch: Callable[[], None] = _ignore
         self.is_urgent: Callable[[], bool] = _never
 
@@ -148,10 +151,11 @@
             heard = await self._ask_probe()
             if isinstance(heard.result, StoreFailed):
                 return Request.PROBE, heard.result
-            self._note_epoch(heard.result.epoch)
             was_away = self._role.is_lost or heard.n_dropped > 0
+            self._note_answer(heard.result.epoch)
             if was_away and await self._defer_to_others():
                 return Request.PROBE, heard.result
+            self._role.note_store_answer()
         while True:
             cursor = self._view.cursor
             if cursor is None or not self._view.can_watch(self._clock.now()):
@@ -237,7 +241,8 @@
             if isinstance(heard.result, StoreFailed):
                 results.append(heard.result)
                 break
-            is_void = self._note_epoch(heard.result.epoch)
+            is_void = self._note_answer(heard.result.epoch)
+            self._role.note_store_answer()
             is_sound = not is_void and not heard.n_dropped
         watch_scope.cancel()
 
@@ -251,8 +256,9 @@
         """
         return 1.0 if self._role.is_first() else _GROWTH_OTHERS
 
-    def _note_epoch(self, epoch: int) -> bool:
-        """Take in what a probe tells; return whether the cursor is void by it."""
+    def _note_answer(self, epoch: int) -> bool:
+        """Take in an answered probe; return whether the cursor is void by it."""
+        self.on_answer()
         is_void = self._view.note_epoch(epoch, self._clock.now())
         self.on_epoch()
         return is_void
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -109,6 +109,7 @@
             teller,
         )
         self._requests.on_silence = self._suspect_store
+        self._requests.on_answer = self._regain_store
         self._requests.on_epoch = self._announce_epoch
         self._requests.is_urgent = self._is_too_old
         self.in_force = ConfigInForce(clock, teller, put_in_force)
@@ -224,7 +225,6 @@
                     self._handle_news(request, result, asked_at)
                 case Probed():
                     n_failed = 0
-                    self._regain_store()
                 case HistoryGone():
                     n_gone += 1
                     self._lose_history()
@@ -246,8 +246,7 @@
         self._regain_store()
         now = self._clock.now()
         self._requests.is_first_read = False
-        if self._role.now().should_watch:
-            self._role.set_update_source(UpdateSource.STORE)
+        self._role.note_store_answer()
         is_sound = self._note_place(request, news, now)
         self._announce_epoch()
         if news.stored is not None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/watcher_role.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/watcher_role.py
@@ -126,6 +126,11 @@
             return
         self._may_ask.set()
 
+    def note_store_answer(self) -> None:
+        """Take in that the store has answered this node, which may be to watch."""
+        if self.now().should_watch:
+            self.set_update_source(UpdateSource.STORE)
+
     def defer_to_others(self) -> bool:
         """Whether one before this node is to ask the store that answers again."""
         if self.is_first() and self.now().should_watch:
