--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -131,6 +131,7 @@
         # Highest epoch of the store that any node has reported.
         self._highest_epoch = NO_EPOCH
         self._requested_at: Milliseconds | None = None
+        self._confirmed_at: Milliseconds | None = None
         self._ask_store_at_share = rng.uniform(*_ASK_STORE_AT_SHARES)
         self.changed: Callable[[], None] = _ignore
         self.on_store_restored: Callable[[], None] = _ignore
@@ -164,6 +165,16 @@
             return 0.0
         return self._clock.now() - self._requested_at
 
+    @property
+    def confirmed_age(self) -> Milliseconds | None:
+        """Milliseconds since the store showed that the active version is the newest.
+
+        None if it has not shown this to this node.
+        """
+        if self._confirmed_at is None:
+            return None
+        return self._clock.now() - self._confirmed_at
+
     def adopt_bounds(self, bounds: Bounds) -> None:
         """Recompute the timeouts of store requests from `bounds.change`."""
         self._requests.timeouts = timeouts_within(bounds.change)
@@ -265,6 +276,8 @@
             self._report_older_version(update.stored, request)
             self.active.adopt(update.stored, "store")
         version = self.active.version
+        if is_newest and self._view.version == version:
+            self._confirmed_at = now if request is StoreRequest.WATCH else asked_at
         if is_newest and self._view.proves(version, asked_at):
             self.active.confirm(version, asked_at)
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -29,6 +29,8 @@
     yield Gauge("store_epoch", "", config.epoch)
     yield Gauge("store_revision", "", config.revision)
     yield Gauge("config_adopted_age_ms", "", round(config.active.adopted_age))
+    confirmed_age = -1.0 if config.confirmed_age is None else config.confirmed_age
+    yield Gauge("config_confirmed_age_ms", "", round(confirmed_age))
     yield Gauge("store_heard_age_ms", "", round(config.store_age))
     yield Gauge("store_request_age_ms", "", round(config.request_age))
     for source in UpdateSource:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
@@ -35,6 +35,23 @@
 
         self.assertAlmostEqual(2_000.0, run_in_memory(main), delta=5.0)
 
+    def test_age_of_the_confirmed_version_grows_until_the_store_confirms_it(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                deployment.put_config(a_route("read"))
+                await trio.sleep(1.0)
+                early = (await metrics_of(host))["fuchsiagap_config_confirmed_age_ms{}"]
+                host.store.down = True
+                await trio.sleep(4.0)
+                late = (await metrics_of(host))["fuchsiagap_config_confirmed_age_ms{}"]
+                return early, late - early
+
+        early, grown = run_in_memory(main)
+        self.assertGreaterEqual(early, 0.0)
+        self.assertAlmostEqual(4_000.0, grown, delta=5.0)
+
     def test_gauges_follow_lost_servers_and_a_lost_store(self):
         async def main():
             async with a_deployment(a_route("read")) as deployment:
