Confirm the configuration by the store's revision, not by any answer

Cause: a watch that was cut was requested again from a revision whose history was gone, where the store lets it wait, and its silence was taken for proof that nothing had changed; the probe beside it read the node's own entry, which says nothing of the configuration.

Change: a watch starts only from a proven position, that of a linearizable read or of an unbroken chain of watches; probes read the store's revision by an empty page, and a revision that the watch has not reported leads to a read.

The unit test of a watch that reports no change at a higher revision expected it to be valid; it now expects that such a watch proves nothing and that a read follows, which is stricter.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_requests.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_requests.py
@@ -3,29 +3,36 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap.core.freshness.store_view import PositionCheck
 from fuchsiagap_node.core.mesh.hedging import hedge
-from fuchsiagap_node.core.mesh.store import ProbeReply, StoreFailed
+from fuchsiagap_node.core.mesh.store import (
+    ConfigUpdate,
+    StoreFailed,
+    StorePosition,
+)
 from fuchsiagap_node.core.mesh.store_probe import StoreProbe
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.freshness.store_timeouts import StoreTimeouts
     from fuchsiagap.core.freshness.store_view import Cursor, StoreView
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.hedging import FirstResponse
-    from fuchsiagap_node.core.mesh.store import ConfigResult, ProbeResult, Store
+    from fuchsiagap_node.core.mesh.store import ConfigResult, PositionResult, Store
     from fuchsiagap_node.core.mesh.watcher_role import WatcherRole
 
+Result = TypeVar("Result")
+
 # Milliseconds that one watch waits. Each watch is one billed call; probes check
-# meanwhile whether the store still answers.
+# meanwhile whether the store still answers, and whether the watch has missed a change.
 _WATCH_MS = 25_000.0
 # Factor by which the hedging delay grows per request, on nodes of lower watcher rank.
 _OTHERS_BACKOFF_FACTOR = 2.0
@@ -48,6 +55,9 @@
     START = "start"
     WATCH = "watch"
     TAKE_OVER = "take-over"
+    WATCH_LOST = "watch-lost"
+    PROBE_AHEAD = "probe-ahead"
+    PROBE_BEHIND = "probe-behind"
     HISTORY_GONE = "history-gone"
 
 
@@ -87,6 +97,9 @@
         Called when the store answers a probe.
     on_epoch : callable
         Called when the epoch in `view` may have changed.
+    on_confirmed : callable
+        Called with the time of a probe that showed that the version at the cursor of
+        `view` is still the newest.
     is_urgent : callable
         Returns whether this node has to ask the store although others watch it.
     """
@@ -113,11 +126,13 @@
         self._event_log = event_log
         self._read_scope: trio.CancelScope | None = None
         self._watch_scope: trio.CancelScope | None = None
+        self._is_watch_lost = False
         self.is_first_read = True
         self.answered_at = clock.now()
         self.on_unresponsive: Callable[[], None] = _ignore
         self.on_response: Callable[[], None] = _ignore
         self.on_epoch: Callable[[], None] = _ignore
+        self.on_confirmed: Callable[[Milliseconds], None] = _ignore_time
         self.is_urgent: Callable[[], bool] = _never
 
     @property
@@ -147,8 +162,10 @@
         await trio.sleep(self.timeouts.hedge_delay / MS_PER_S)
         scope.cancel()
 
-    async def fetch(self) -> tuple[StoreRequest, ConfigResult | ProbeReply | None]:
-        """Watch for the next configuration, or read it if there is no valid cursor.
+    async def fetch(
+        self,
+    ) -> tuple[StoreRequest, ConfigResult | StorePosition | None]:
+        """Watch for the next configuration, or read it if there is no proven cursor.
 
         A store that was unresponsive is probed first.
 
@@ -156,7 +173,7 @@
         -------
         StoreRequest
             Kind of the request that was answered.
-        ConfigUpdate or HistoryCompacted or StoreFailed or ProbeReply or None
+        ConfigUpdate or HistoryCompacted or StoreFailed or StorePosition or None
             Its result; None if the first read was cancelled.
         """
         store_age = self._clock.now() - self.answered_at
@@ -167,7 +184,7 @@
             if isinstance(response.result, StoreFailed):
                 return StoreRequest.PROBE, response.result
             was_unresponsive = self._role.is_store_lost or response.n_dropped > 0
-            self._handle_probe_reply(response.result.epoch)
+            self._handle_position(response.result.cursor.epoch)
             if was_unresponsive and await self._defer_to_others():
                 return StoreRequest.PROBE, response.result
             self._role.record_store_answer()
@@ -176,6 +193,9 @@
             if cursor is None or not self._view.can_watch(self._clock.now()):
                 return await self._read()
             result = await self._watch(cursor)
+            if not isinstance(result, ConfigUpdate):
+                self._is_watch_lost = True
+                self._view.note_interruption()
             if result is not None:
                 return StoreRequest.WATCH, result
             self._event_log.event(
@@ -201,10 +221,7 @@
         read costs a tenth of a linearizable one, and a newer version arrives on the
         links or with the first watch.
         """
-        if self._view.cursor is not None:
-            cause = _Cause.TAKE_OVER
-        else:
-            cause = _Cause.START if self.is_first_read else _Cause.HISTORY_GONE
+        cause = self._read_cause()
         is_stale_read = cause is _Cause.START and self._revocation_bound is None
         request = StoreRequest.READ_STALE if is_stale_read else StoreRequest.READ
 
@@ -212,19 +229,30 @@
             self._event_log.count_store_call(request.value, cause.value)
             return await self._store.read_config(linearizable=not is_stale_read)
 
-        interval = self.timeouts.hedge_delay
         with trio.CancelScope() as self._read_scope:
-            response = await hedge(
-                send_read, interval, self.on_unresponsive, self._backoff_factor
-            )
+            response = await self._hedge(send_read)
+            self._is_watch_lost = False
             return request, response.result
         return request, None
 
+    def _read_cause(self) -> _Cause:
+        """Return why the configuration is to be read."""
+        if self._view.cursor is not None:
+            return _Cause.WATCH_LOST if self._is_watch_lost else _Cause.TAKE_OVER
+        return _Cause.START if self.is_first_read else _Cause.HISTORY_GONE
+
+    async def _hedge(
+        self, send: Callable[[], Awaitable[Result]]
+    ) -> FirstResponse[Result]:
+        return await hedge(
+            send, self.timeouts.hedge_delay, self.on_unresponsive, self._backoff_factor
+        )
+
     async def _watch(self, cursor: Cursor) -> ConfigResult | None:
-        """Wait for the next configuration as long as the store answers probes.
+        """Wait for the next configuration as long as probes confirm the watch.
 
-        Returns None if the store may have dropped the watch, or was restored from a
-        backup.
+        Returns None if the watch may have missed a change, or the store was restored
+        from a backup.
         """
         results: list[ConfigResult] = []
         async with trio.open_nursery() as nursery:
@@ -253,7 +281,7 @@
     async def _probe_until_lost(
         self, results: list[ConfigResult], watch_scope: trio.CancelScope
     ) -> None:
-        """Cancel the watch once the store is lost, has dropped it or was restored.
+        """Cancel the watch once the store is lost or the watch may miss changes.
 
         A change of the configuration ends the watches of all nodes at the same moment.
         The first wait is random, so that the nodes do not all probe at the same time
@@ -266,18 +294,68 @@
             wait = self.timeouts.probe_interval
             if not self._role.current_rank().should_watch and not self.is_urgent():
                 continue
+            asked_at = self._clock.now()
             response = await self._send_probe()
             if isinstance(response.result, StoreFailed):
                 results.append(response.result)
                 break
-            is_cursor_invalid = self._handle_probe_reply(response.result.epoch)
+            position = response.result.cursor
+            is_cursor_invalid = self._handle_position(position.epoch)
             self._role.record_store_answer()
-            is_watch_valid = not is_cursor_invalid and not response.n_dropped
+            is_watch_valid = (
+                not is_cursor_invalid
+                and not response.n_dropped
+                and await self._has_reported_all(position)
+            )
+            if is_watch_valid:
+                self.on_confirmed(asked_at)
         watch_scope.cancel()
 
-    async def _send_probe(self) -> FirstResponse[ProbeResult]:
-        return await self._probe.send(
-            "liveness", self.on_unresponsive, self._backoff_factor
+    async def _has_reported_all(self, position: Cursor) -> bool:
+        """Whether the open watch has reported each change up to a position.
+
+        If the position is older than the cursor, the store's stale reads are behind,
+        and a linearizable one is needed.
+        """
+        linearizable = False
+        if self._view.check_position(position) is PositionCheck.BEHIND:
+            linearizable = True
+            response = await self._send_probe(linearizable)
+            if isinstance(response.result, StoreFailed):
+                return False
+            position = response.result.cursor
+            if self._handle_position(position.epoch):
+                return False
+        match self._view.check_position(position):
+            case PositionCheck.CURRENT:
+                return True
+            case PositionCheck.BEHIND:
+                return False
+        return await self._is_unchanged_at(position, linearizable)
+
+    async def _is_unchanged_at(self, position: Cursor, linearizable: bool) -> bool:
+        """Whether the changes up to a position do not concern the configuration."""
+        request = StoreRequest.READ if linearizable else StoreRequest.READ_STALE
+        cause = _Cause.PROBE_BEHIND if linearizable else _Cause.PROBE_AHEAD
+
+        async def send_read() -> ConfigResult:
+            self._event_log.count_store_call(request.value, cause.value)
+            return await self._store.read_config(linearizable)
+
+        result = (await self._hedge(send_read)).result
+        if not isinstance(result, ConfigUpdate):
+            return False
+        if result.cursor.revision < position.revision:
+            return False
+        changed_at = 0 if result.stored is None else result.stored.cursor.revision
+        return self._view.note_unchanged(result.cursor, changed_at)
+
+    async def _send_probe(
+        self, linearizable: bool = False
+    ) -> FirstResponse[PositionResult]:
+        cause = _Cause.PROBE_BEHIND.value if linearizable else "liveness"
+        return await self._probe.read_position(
+            cause, self.on_unresponsive, self._backoff_factor, linearizable
         )
 
     def _backoff_factor(self) -> float:
@@ -288,7 +366,7 @@
         """
         return 1.0 if self._role.is_first() else _OTHERS_BACKOFF_FACTOR
 
-    def _handle_probe_reply(self, epoch: int) -> bool:
+    def _handle_position(self, epoch: int) -> bool:
         """Record the epoch of a probe; return whether it invalidates the cursor."""
         self.on_response()
         is_cursor_invalid = self._view.note_epoch(epoch, self._clock.now())
@@ -300,6 +378,10 @@
     """Do nothing."""
 
 
+def _ignore_time(at: Milliseconds) -> None:
+    """Do nothing."""
+
+
 def _never() -> bool:
     """Return False: no request is urgent."""
     return False
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/config_sync.py
@@ -17,8 +17,8 @@
 from fuchsiagap_node.core.mesh.store import (
     ConfigUpdate,
     HistoryCompacted,
-    ProbeReply,
     StoreFailed,
+    StorePosition,
 )
 from fuchsiagap_node.core.mesh.watcher_role import WatcherRole
 
@@ -119,6 +119,7 @@
         self._requests.on_unresponsive = self._mark_store_unresponsive
         self._requests.on_response = self._mark_store_available
         self._requests.on_epoch = self._announce_epoch
+        self._requests.on_confirmed = self._record_confirmation
         self._requests.is_urgent = self._is_too_stale
         self.active = ActiveConfig(clock, event_log, apply_config)
         self._peer_fetcher = PeerConfigFetcher(
@@ -131,7 +132,9 @@
         # Highest epoch of the store that any node has reported.
         self._highest_epoch = NO_EPOCH
         self._requested_at: Milliseconds | None = None
+        self._change_bound = bounds.change
         self._confirmed_at: Milliseconds | None = None
+        self._is_reported_unconfirmed = False
         self._ask_store_at_share = rng.uniform(*_ASK_STORE_AT_SHARES)
         self.changed: Callable[[], None] = _ignore
         self.on_store_restored: Callable[[], None] = _ignore
@@ -177,6 +180,7 @@
 
     def adopt_bounds(self, bounds: Bounds) -> None:
         """Recompute the timeouts of store requests from `bounds.change`."""
+        self._change_bound = bounds.change
         self._requests.timeouts = timeouts_within(bounds.change)
 
     def set_nursery(self, nursery: trio.Nursery) -> None:
@@ -216,6 +220,24 @@
     def refresh(self) -> None:
         """Re-evaluate whether this node is to watch the store."""
         self._role.refresh(self._is_too_stale)
+        self._report_confirmed_age()
+
+    def _report_confirmed_age(self) -> None:
+        """Log when the age of the confirmation exceeds the bound, and when it ends.
+
+        Only nodes that watch the store are reported, since others rely on them.
+        """
+        age = self.confirmed_age
+        if age is None:
+            return
+        is_overdue = age > self._change_bound
+        if is_overdue and self.update_source is not UpdateSource.STORE:
+            return
+        if is_overdue is self._is_reported_unconfirmed:
+            return
+        self._is_reported_unconfirmed = is_overdue
+        event = "config-unconfirmed" if is_overdue else "config-confirmed"
+        self._event_log.event(event, version=self.active.version, age=round(age))
 
     def _is_too_stale(self) -> bool:
         """Whether the configuration is so stale that this node has to ask the store."""
@@ -241,7 +263,7 @@
                     if request is StoreRequest.WATCH:
                         n_compacted = 0
                     self._handle_update(request, result, asked_at)
-                case ProbeReply():
+                case StorePosition():
                     n_failed = 0
                 case HistoryCompacted():
                     n_compacted += 1
@@ -276,11 +298,17 @@
             self._report_older_version(update.stored, request)
             self.active.adopt(update.stored, "store")
         version = self.active.version
-        if is_newest and self._view.version == version:
-            self._confirmed_at = now if request is StoreRequest.WATCH else asked_at
+        if is_newest:
+            is_watch = request is StoreRequest.WATCH
+            self._record_confirmation(now if is_watch else asked_at)
         if is_newest and self._view.proves(version, asked_at):
             self.active.confirm(version, asked_at)
 
+    def _record_confirmation(self, as_of: Milliseconds) -> None:
+        """Record that the version at the cursor was the newest at a time."""
+        if self._view.version == self.active.version:
+            self._confirmed_at = as_of
+
     def _mark_store_available(self) -> None:
         """Record that the store answers."""
         self._requests.answered_at = self._clock.now()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
@@ -100,9 +100,23 @@
     stored: StoredConfig | None
 
 
+@dataclass(frozen=True, slots=True)
+class StorePosition:
+    """Position of the store, from an answer without a configuration.
+
+    Parameters
+    ----------
+    cursor : Cursor
+        Epoch and revision of the store.
+    """
+
+    cursor: Cursor
+
+
 ConfigResult: TypeAlias = ConfigUpdate | HistoryCompacted | StoreFailed
 MembersResult: TypeAlias = Members | StoreFailed
 ProbeResult: TypeAlias = ProbeReply | StoreFailed
+PositionResult: TypeAlias = StorePosition | StoreFailed
 
 
 class Store(Protocol):
@@ -121,6 +135,16 @@
     async def watch_config(self, cursor: Cursor, wait: Milliseconds) -> ConfigResult:
         """Wait up to `wait` milliseconds for a change after the cursor."""
 
+    async def read_position(self, linearizable: bool) -> PositionResult:
+        """Read the position of the store, by a response of constant size.
+
+        Parameters
+        ----------
+        linearizable : bool
+            Whether to read the newest position; otherwise the result may be some
+            seconds old, at a lower cost.
+        """
+
     async def probe(self, node: str) -> ProbeResult:
         """Check by the store's cheapest request whether a node's entry exists."""
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_config_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_config_sync.py
@@ -69,6 +69,25 @@
 
         self.assertLess(run_in_memory(main), 2 * 24.0 / 4.0)
 
+    def test_unconfirmed_version_is_logged_once_and_so_is_its_confirmation(self):
+        async def main():
+            async with a_deployment(OLD) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                deployment.put_config(NEW)
+                await trio.sleep(1.0)
+                requests = host.node._config._requests
+                confirm = requests.on_confirmed
+                requests.on_confirmed = lambda as_of: None
+                await trio.sleep(4.0)
+                counts = host.node.event_log.counts
+                during = counts["events", "config-unconfirmed"]
+                requests.on_confirmed = confirm
+                await trio.sleep(2.0)
+                return during, counts["events", "config-confirmed"]
+
+        self.assertEqual((1, 1), run_in_memory(main))
+
     def test_only_few_nodes_of_a_data_centre_watch(self):
         async def main():
             async with a_deployment(OLD) as deployment:
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
@@ -15,6 +15,7 @@
     ProbeReply,
     StoredConfig,
     StoreFailed,
+    StorePosition,
 )
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
     from fuchsiagap_node.core.mesh.store import (
         ConfigResult,
         MembersResult,
+        PositionResult,
         ProbeResult,
     )
 
@@ -191,6 +193,13 @@
                 await state.next_change.wait()
         return ConfigUpdate(Cursor(state.epoch, max(revision, 1)), None)
 
+    async def read_position(self, linearizable: bool) -> PositionResult:
+        """Return the newest position, whether or not `linearizable`."""
+        await trio.lowlevel.checkpoint()
+        if (failed := self._call(1.0 if linearizable else 0.1)) is not None:
+            return failed
+        return StorePosition(self._state.cursor)
+
     async def probe(self, node: str) -> ProbeResult:
         """Return the epoch, and whether a node is registered."""
         await trio.lowlevel.checkpoint()
--- a/packages/fuchsiagap/src/fuchsiagap/core/freshness/store_view.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/freshness/store_view.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -37,6 +38,14 @@
     revision: int
 
 
+class PositionCheck(Enum):
+    """What the position of the store shows about the configuration at the cursor."""
+
+    CURRENT = "current"  # nothing was written after the cursor
+    AHEAD = "ahead"  # something was, perhaps a configuration
+    BEHIND = "behind"  # the answer is older than the cursor, so it shows nothing
+
+
 class StoreView:
     """State of the store as far as its answers show it.
 
@@ -54,6 +63,9 @@
         Where to start the next watch; None if the configuration has to be read first.
     version : int
         Newest version in the store at the cursor.
+    is_proven : bool
+        Whether the version at the cursor is known to be the newest there, and no later
+        change can have been missed by a watch.
     """
 
     def __init__(self, settle: Milliseconds = 0.0) -> None:
@@ -64,6 +76,7 @@
         self.epoch = NO_EPOCH
         self.cursor: Cursor | None = None
         self.version = 0
+        self.is_proven = False
 
     def note_epoch(self, epoch: int, now: Milliseconds) -> bool:
         """Record the epoch of an answer; return whether it invalidates the cursor."""
@@ -101,6 +114,7 @@
             # The store was restored without announcing a new epoch.
             self._reliable_from = now + self._settle
         self._move_to(cursor, version, now)
+        self.is_proven = True
 
     def note_older_read(self, cursor: Cursor, version: int, now: Milliseconds) -> None:
         """Record a version that may have been replaced since.
@@ -117,12 +131,16 @@
         self.note_epoch(cursor.epoch, now)
         if self.cursor is None:
             self._move_to(cursor, version, now)
+            self.is_proven = False
 
     def note_watch(
         self, cursor: Cursor, version: int | None, now: Milliseconds
     ) -> bool:
         """Record the result of a watch from the cursor; return whether it is valid.
 
+        A watch that reports no change although the revision is higher proves nothing:
+        another object may have changed, or the store may have lost the history.
+
         Parameters
         ----------
         cursor : Cursor
@@ -137,7 +155,48 @@
         if cursor.revision < self.cursor.revision:
             self.cursor = None
             return False
+        is_proven = version is not None or (
+            self.is_proven and cursor.revision == self.cursor.revision
+        )
         self._move_to(cursor, self.version if version is None else version, now)
+        self.is_proven = is_proven
+        return is_proven
+
+    def note_interruption(self) -> None:
+        """Record that a watch ended without a result, and may have missed changes."""
+        self.is_proven = False
+
+    def check_position(self, position: Cursor) -> PositionCheck:
+        """Compare a position of the store with the cursor.
+
+        Parameters
+        ----------
+        position : Cursor
+            Position in an answer whose epoch was recorded by `note_epoch`.
+        """
+        if self.cursor is None or position.revision > self.cursor.revision:
+            return PositionCheck.AHEAD
+        if position.revision < self.cursor.revision:
+            return PositionCheck.BEHIND
+        return PositionCheck.CURRENT
+
+    def note_unchanged(self, position: Cursor, changed_at: int) -> bool:
+        """Record at which revision the configuration last changed, as of a position.
+
+        Returns whether the configuration at the cursor is still the newest; then the
+        cursor moves to the position.
+
+        Parameters
+        ----------
+        position : Cursor
+            Position of the answer.
+        changed_at : int
+            Revision of the last change up to the position.
+        """
+        if self.cursor is None or changed_at > self.cursor.revision:
+            return False
+        if position.revision > self.cursor.revision:
+            self.cursor = Cursor(self.cursor.epoch, position.revision)
         return True
 
     def note_version(self, cursor: Cursor, version: int, now: Milliseconds) -> None:
@@ -168,8 +227,13 @@
         self.cursor = None
 
     def can_watch(self, now: Milliseconds) -> bool:
-        """Whether the store is likely to still have the history since the cursor."""
-        return self.cursor is not None and now - self._as_of <= _CURSOR_LIFETIME_MS
+        """Whether a watch from the cursor will report each change after it.
+
+        A store does not always reject a watch from a revision whose history it has
+        lost, so the version at the cursor must be proven.
+        """
+        is_recent = now - self._as_of <= _CURSOR_LIFETIME_MS
+        return self.cursor is not None and self.is_proven and is_recent
 
     def proves(self, version: int, asked_at: Milliseconds) -> bool:
         """Whether a version was certainly the newest when a query was sent.
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_store_view.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_store_view.py
@@ -2,7 +2,12 @@
 
 from testtools import TestCase
 
-from fuchsiagap.core.freshness.store_view import NO_EPOCH, Cursor, StoreView
+from fuchsiagap.core.freshness.store_view import (
+    NO_EPOCH,
+    Cursor,
+    PositionCheck,
+    StoreView,
+)
 
 SETTLE_MS = 1_500.0
 
@@ -19,8 +24,41 @@
         view = view_at()
         self.assertTrue(view.note_watch(Cursor(3, 60), 8, 10.0))
         self.assertEqual((Cursor(3, 60), 8), (view.cursor, view.version))
-        self.assertTrue(view.note_watch(Cursor(3, 61), None, 20.0))
-        self.assertEqual((Cursor(3, 61), 8), (view.cursor, view.version))
+        self.assertTrue(view.note_watch(Cursor(3, 60), None, 20.0))
+        self.assertEqual((Cursor(3, 60), 8), (view.cursor, view.version))
+        self.assertTrue(view.can_watch(20.0))
+
+    def test_watch_that_skips_revisions_without_a_change_proves_nothing(self):
+        view = view_at()
+        self.assertFalse(view.note_watch(Cursor(3, 61), None, 20.0))
+        self.assertFalse(view.can_watch(20.0))
+        view.note_read(Cursor(3, 61), 7, 30.0)
+        self.assertTrue(view.can_watch(30.0))
+
+    def test_interrupted_watch_is_not_resumed_from_its_cursor(self):
+        view = view_at()
+        view.note_interruption()
+        self.assertFalse(view.can_watch(10.0))
+
+    def test_position_is_compared_with_the_cursor(self):
+        view = view_at(revision=50)
+        for revision, expected in (
+            (49, PositionCheck.BEHIND),
+            (50, PositionCheck.CURRENT),
+            (51, PositionCheck.AHEAD),
+        ):
+            self.assertIs(expected, view.check_position(Cursor(3, revision)))
+
+    def test_change_of_another_object_moves_the_cursor(self):
+        view = view_at(revision=50)
+        self.assertTrue(view.note_unchanged(Cursor(3, 53), 50))
+        self.assertEqual(Cursor(3, 53), view.cursor)
+        self.assertTrue(view.can_watch(10.0))
+
+    def test_change_of_the_configuration_does_not_move_the_cursor(self):
+        view = view_at(revision=50)
+        self.assertFalse(view.note_unchanged(Cursor(3, 53), 52))
+        self.assertEqual(Cursor(3, 50), view.cursor)
 
     def test_watch_answered_in_another_epoch_is_invalid(self):
         view = view_at()
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_store_view_exhaustive.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_store_view_exhaustive.py
@@ -2,6 +2,8 @@
 
 The store may be unresponsive once, and may be restored once from a backup that was
 taken after the first version; what it lost is written again within the settling time.
+It may compact its history once: open watches are cut or never answered, and so are
+later ones from a lost revision, unless they fail or report no change.
 Nodes read, watch from their cursor, probe, and pass on their state; one node is killed
 once and restarts without state. In every reachable state, no node returns to an older
 version, none fails to reach the newest one, and none has an `as_of` that is too late.
@@ -13,7 +15,7 @@
 from testtools import TestCase
 
 from fuchsiagap.core.freshness.config_freshness import ConfigFreshness
-from fuchsiagap.core.freshness.store_view import Cursor, StoreView
+from fuchsiagap.core.freshness.store_view import Cursor, PositionCheck, StoreView
 
 # For a longer run: `RETURN_NODES=3`.
 N_NODES = int(os.environ.get("RETURN_NODES", "2"))
@@ -44,7 +46,7 @@
     in_force: int = 0
     stored_at: Cursor | None = None
     freshness: tuple = (NEVER, 0, NEVER)
-    view: tuple = (NEVER, NEVER, -1, -1, None, 0)
+    view: tuple = (NEVER, NEVER, -1, -1, None, 0, False)
     # Cursor and time of the open request, or the answer in transit; None if neither.
     pending: tuple | Answer | None = None
     # Whether it knew the previous epoch when it first learned of the one that the
@@ -66,6 +68,8 @@
     restored_at: int | None = None
     outage: str = "to come"
     was_killed: bool = False
+    # Oldest revision from which the history is complete; None before the compaction.
+    compacted: int | None = None
     nodes: tuple = (Node(),) * N_NODES
 
 
@@ -79,6 +83,7 @@
         view._peer_epoch,
         view.cursor,
         view.version,
+        view.is_proven,
     ) = node.view
     return view
 
@@ -92,6 +97,7 @@
         view._peer_epoch,
         view.cursor,
         view.version,
+        view.is_proven,
     )
     return replace(node, view=state)
 
@@ -125,7 +131,9 @@
 
 def with_request(system, node):
     """Return a node after it sent a request to the store."""
-    return replace(node, pending=(view_of(node).cursor, system.now))
+    view = view_of(node)
+    cursor = view.cursor if view.is_proven else None
+    return replace(node, pending=(cursor, system.now))
 
 
 def answered(system, node):
@@ -144,6 +152,28 @@
     return replace(node, pending=answer)
 
 
+def is_watch_dead(system, node):
+    """Whether a node has an open watch from a revision whose history is lost."""
+    if not isinstance(node.pending, tuple) or node.pending[0] is None:
+        return False
+    return system.compacted is not None and node.pending[0].revision < system.compacted
+
+
+def answered_despite_lost_history(system, node):
+    """Yield a node after each answer that a watch from a lost revision may get."""
+    asked_at = node.pending[1]
+    position = Cursor(system.epoch, system.revision)
+    yield replace(node, pending=Answer(True, asked_at, None, None))
+    yield replace(node, pending=Answer(True, asked_at, position, None))
+
+
+def interrupted(node):
+    """Return a node after its watch ended without an answer."""
+    view = view_of(node)
+    view.note_interruption()
+    return replace(with_view(node, view), pending=None)
+
+
 def received(system, node):
     """Return a node after the answer in transit has arrived."""
     answer = node.pending
@@ -181,12 +211,24 @@
 
 
 def probed(system, node):
-    """Return a node after a probe of the store; an invalid cursor ends its watch."""
+    """Return a node after a probe of the store, which may end its watch."""
     view = view_of(node)
     node = replace(node, can_detect=node.can_detect and can_detect(system, view))
     is_invalid = view.note_epoch(system.epoch, system.now)
     node = with_view(node, view)
-    return replace(node, pending=None) if is_invalid else node
+    if is_invalid:
+        return replace(node, pending=None)
+    if not isinstance(node.pending, tuple) or node.pending[0] is None:
+        return node
+    position = Cursor(system.epoch, system.revision)
+    match view.check_position(position):
+        case PositionCheck.CURRENT:
+            return node
+        case PositionCheck.BEHIND:
+            return interrupted(node)
+    if not view.note_unchanged(position, system.changed_at):
+        return interrupted(node)
+    return with_view(node, view)
 
 
 def informed(system, node, other):
@@ -250,6 +292,14 @@
             version=version,
             restored_at=system.now,
         )
+    if system.compacted is None:
+        dropped = replace(system, now=system.now + 1, compacted=system.revision)
+        yield dropped
+        cut = tuple(
+            interrupted(node) if is_watch_dead(dropped, node) else node
+            for node in system.nodes
+        )
+        yield replace(dropped, nodes=cut)
     if system.outage == "to come":
         yield replace(system, now=system.now + 1, outage="on")
     elif system.outage == "on":
@@ -263,7 +313,9 @@
         yield received(system, node)
     elif system.outage == "on":
         # The request is lost, which unanswered probes reveal.
-        yield replace(node, pending=None)
+        yield interrupted(node)
+    elif is_watch_dead(system, node):
+        yield from answered_despite_lost_history(system, node)
     else:
         yield answered(system, node)
     if system.outage != "on":
@@ -288,7 +340,14 @@
     if system.version < newest:
         system = written(system, newest)
     for node in system.nodes:
-        if not isinstance(node.pending, Answer) and node.pending is not None:
+        if is_watch_dead(system, node):
+            # It may never be answered; a probe ends it unless it missed nothing.
+            node = probed(system, node)
+            view = view_of(node)
+            if node.pending is not None and view.version == newest == node.in_force:
+                continue
+            assert node.pending is None, f"behind: {system}"
+        elif not isinstance(node.pending, Answer) and node.pending is not None:
             # An open watch is ended by a probe or by its timeout.
             node = replace(probed(system, node), pending=None)
         n_requests = 0
@@ -314,7 +373,8 @@
     The store has made further changes since the backup.
     """
     position = Cursor(1, 4)
-    node = Node(1, position, (0, 0, NEVER), (0, NEVER, 1, -1, position, 1))
+    view = (0, NEVER, 1, -1, position, 1, True)
+    node = Node(1, position, (0, 0, NEVER), view)
     watcher = replace(node, pending=(position, 0))
     return System(now=1, revision=4, nodes=(watcher, *(node,) * (N_NODES - 1)))
 
@@ -323,7 +383,8 @@
     """Return a system whose store has lost the second version, which one node has."""
     system = synchronized_system()
     position = Cursor(1, 5)
-    ahead = Node(2, position, (2, 0, NEVER), (3, NEVER, 1, -1, position, 2))
+    view = (3, NEVER, 1, -1, position, 2, True)
+    ahead = Node(2, position, (2, 0, NEVER), view)
     nodes = (ahead, *system.nodes[1:])
     accepted = (*system.accepted, (2, 1))
     return replace(
