Read the limit and the departure that a backend server states

A response counts for a raised or withdrawn limit only if its request was sent after the response that named the limit had arrived. No request is handled differently yet; the rate limiter is not in use.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -31,7 +31,7 @@
     from fuchsiagap_node.core.mesh.settings import MeshSettings
 
 # Status by which a server answers that it is not the incarnation named in a request.
-_MISDIRECTED_REQUEST = 421
+MISDIRECTED_REQUEST = 421
 # Milliseconds within which a connection to a server on the same host has to open.
 _CONNECT_TIMEOUT_MS = 500.0
 # Milliseconds after which unacknowledged bytes break the connection. The server is on
@@ -65,6 +65,8 @@
     ----------
     call : Call or None
         The call whose answer is awaited; None while the connection is idle.
+    response : Response or None
+        The last response to a call.
     closed : bool
         Whether it accepts no more calls.
     idle_since : float
@@ -85,6 +87,7 @@
         self._max_idle_ms = _DEFAULT_IDLE_TIMEOUT_MS
         self._on_read: Callable[[BackendConn, Outcome | None], None] = _ignore
         self.call: Call | None = None
+        self.response: Response | None = None
         self.closed = False
         self.silent = False
 
@@ -238,6 +241,7 @@
             if not _is_answer_to(answer, call.request_id):
                 self._got_mismatched_answer = True
                 continue
+            self.response = answer
             clean = index == len(answers) - 1 and not self._reader.in_message
             self._keep_or_close(
                 answer, clean and not self._got_mismatched_answer and bool(data)
@@ -258,7 +262,7 @@
 
 
 def _outcome(answer: Response) -> Outcome:
-    if answer.status == _MISDIRECTED_REQUEST:
+    if answer.status == MISDIRECTED_REQUEST:
         return NotRun(OTHER_INCARNATION, offered=True)
     if answer.not_run:
         return NotRun(f"backend server refused: {answer.status}", offered=True)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from fuchsiagap_node.core.mesh.backend_conn import BackendConn
+from fuchsiagap_node.core.mesh.backend_conn import MISDIRECTED_REQUEST, BackendConn
 from fuchsiagap_node.core.mesh.idle_conns import IdleConns
 from fuchsiagap_node.core.mesh.outcome import EXPIRED, MayHaveRun, NotRun, Outcome
 from fuchsiagap_node.core.mesh.stream import BrokenStream
@@ -16,6 +16,7 @@
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.event_log import EventLog
+    from fuchsiagap_node.core.mesh.http_response import Response
     from fuchsiagap_node.core.mesh.pending_call import PendingCall
     from fuchsiagap_node.core.mesh.poller import Poller
     from fuchsiagap_node.core.mesh.settings import MeshSettings
@@ -44,6 +45,9 @@
     ----------
     on_outcome : callable
         Called with each outcome of a call that was sent, before `settle` is.
+    on_response : callable
+        Called with a call and the response of the incarnation that it was sent to,
+        before `settle` is.
     on_unreachable : callable
         Called with the error when the server accepted no connection.
     is_suspected : callable
@@ -69,6 +73,7 @@
         self._by_conn: dict[BackendConn, PendingCall] = {}
         self._nursery: trio.Nursery | None = None
         self.on_outcome: Callable[[Outcome], None] = _ignore
+        self.on_response: Callable[[PendingCall, Response], None] = _ignore_both
         self.on_unreachable: Callable[[BrokenStream], None] = _ignore
         self.is_suspected: Callable[[], bool] = bool
 
@@ -221,6 +226,10 @@
         """Settle the call of a connection, and keep the connection if it is open."""
         conn.call = None
         pending = self._by_conn.get(conn)
+        response, conn.response = conn.response, None
+        is_from_target = response is not None and response.status != MISDIRECTED_REQUEST
+        if pending is not None and response is not None and is_from_target:
+            self.on_response(pending, response)
         self.on_outcome(outcome)
         if not conn.closed:
             self._idle.keep(conn)
@@ -255,3 +264,7 @@
 
 def _ignore(_: object) -> None:
     """Ignore an outcome or an error."""
+
+
+def _ignore_both(_: object, __: object) -> None:
+    """Ignore a response."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -6,12 +6,18 @@
 
 from fuchsiagap.core.backend_queue.health import ServerHealth
 from fuchsiagap.core.backend_queue.incarnation import BackendState, IncarnationTracker
+from fuchsiagap.core.backend_queue.named_limit import (
+    InvalidNoticeError,
+    NoticeTracker,
+    parse_notice,
+)
 from fuchsiagap.core.backend_queue.offered_load import OfferedLoad
 from fuchsiagap.core.backend_queue.queue_timeouts import QueueTimeouts
 from fuchsiagap.core.backend_queue.rank_stats import RankStats
 from fuchsiagap.core.backend_queue.ranked_queue import RankedQueue
 from fuchsiagap_node.core.mesh.backend_conns import MIN_TIME_LEFT_MS, BackendConns
 from fuchsiagap_node.core.mesh.crash_reports import CrashReports
+from fuchsiagap_node.core.mesh.malformed_input import MalformedInput
 from fuchsiagap_node.core.mesh.outcome import (
     CANCELLED,
     EXPIRED,
@@ -36,6 +42,7 @@
     from fuchsiagap.core.backend_queue.incarnation import BackendReport
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.event_log import EventLog
+    from fuchsiagap_node.core.mesh.http_response import Response
     from fuchsiagap_node.core.mesh.pending_call import PendingCall
     from fuchsiagap_node.core.mesh.poller import Poller
     from fuchsiagap_node.core.mesh.settings import MeshSettings
@@ -110,6 +117,8 @@
         self._crashes = ServerCrashes(clock, event_log, self._running_fingerprints)
         self._crashes.on_crash = self.reports.report_crash
         self._conns.on_outcome = self._crashes.record_answer
+        self._conns.on_response = self._handle_response
+        self._notices = NoticeTracker()
         self._conns.on_unreachable = self._handle_unreachable
         self._conns.is_suspected = lambda: self._crashes.is_suspected
         self._warm_up_ends_at = 0.0
@@ -233,6 +242,7 @@
     ) -> None:
         """Reset the measurements of the earlier incarnation."""
         self._health.forget_failures()
+        self._notices = NoticeTracker()
         self._n_long_term_samples = 0
         if old is None or old.instance != report.instance:
             return
@@ -261,6 +271,7 @@
         self._crashes.revert(report)
         self._apply_state(report)
         self._health.forget_failures()
+        self._notices = NoticeTracker()
         self._event_log.event(
             "backend-refuted",
             instance=instance,
@@ -410,6 +421,32 @@
         self._crashes.record_unreachable(cause)
         self.changed()
 
+    def _handle_response(self, pending: PendingCall, response: Response) -> None:
+        """Apply what the server states about itself in a response to a call."""
+        instance = pending.call.instance
+        if instance != self.known_instance():
+            return
+        try:
+            notice = parse_notice(response.rate_limit, response.leaving)
+        except InvalidNoticeError as exc:
+            malformed = MalformedInput(f"response of {instance}", str(exc))
+            self._event_log.log_malformed_input("notice-unreadable", malformed)
+            return
+        if not self._notices.record(notice, pending.started, self._clock.now()):
+            return
+        notice = self._notices.notice
+        self._event_log.event(
+            "server-notice",
+            instance=instance,
+            rate=notice.rate,
+            leaving=notice.is_leaving,
+        )
+
+    @property
+    def named_rate(self) -> float | None:
+        """Requests per second that the server names as its limit; None for no limit."""
+        return self._notices.notice.rate
+
     def _running_fingerprints(self) -> frozenset[bytes]:
         """Return the fingerprints of the requests that the server runs now."""
         return frozenset(
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_names.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_names.py
@@ -40,6 +40,11 @@
     load : bytes
         On a response: numbers of running requests, waiting requests and slots,
         separated by commas.
+    rate_limit : bytes
+        On a response: requests per second that the backend server accepts from all
+        nodes together; no limit without it.
+    leaving : bytes
+        On a response: ``1`` if the backend server is leaving.
     instance : bytes
         On a response to a health check or to a misdirected request: incarnation that
         answered.
@@ -59,6 +64,8 @@
     caller: bytes = b"Calling-Service"
     not_run: bytes = b"Not-Run"
     load: bytes = b"Load"
+    rate_limit: bytes = b"Rate-Limit"
+    leaving: bytes = b"Leaving"
     instance: bytes = b"Incarnation"
     signature: bytes = b"Signature"
     key: bytes = b"Api-Key"
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -33,6 +33,10 @@
         Incarnation that answered; empty if not stated.
     load : bytes
         Load report of the backend server; empty if there was none.
+    rate_limit, leaving : bytes or None
+        Values of the headers by which a backend server limits its requests and
+        announces that it is leaving; None without the header. Values of several
+        headers of one name are joined by commas.
     idle_timeout : float or None
         Idle timeout of the server in milliseconds; None if not stated.
     keep_alive : bool
@@ -47,6 +51,8 @@
     not_run: bool = False
     instance: str = ""
     load: bytes = b""
+    rate_limit: bytes | None = None
+    leaving: bytes | None = None
     idle_timeout: float | None = None
     keep_alive: bool = True
 
@@ -74,6 +80,8 @@
         self._id_name = names.request_id.lower()
         self._not_run_name = names.not_run.lower()
         self._load_name = names.load.lower()
+        self._rate_limit_name = names.rate_limit.lower()
+        self._leaving_name = names.leaving.lower()
         self._instance_name = names.instance.lower()
         self._parser = httptools.HttpResponseParser(self)
         self._completed: list[Response] = []
@@ -88,6 +96,8 @@
         self._not_run = False
         self._instance = ""
         self._load = b""
+        self._rate_limit: bytes | None = None
+        self._leaving: bytes | None = None
         self._idle_timeout: float | None = None
         self._has_framing = False
         self._is_head_complete = False
@@ -163,6 +173,10 @@
             self._not_run = True
         elif lower_name == self._load_name:
             self._load = value
+        elif lower_name == self._rate_limit_name:
+            self._rate_limit = _join(self._rate_limit, value)
+        elif lower_name == self._leaving_name:
+            self._leaving = _join(self._leaving, value)
         elif lower_name == self._instance_name:
             self._instance = value.decode("latin-1")
         self._lines.append(name + b": " + value + b"\r\n")
@@ -192,12 +206,19 @@
                 self._not_run,
                 self._instance,
                 self._load,
+                self._rate_limit,
+                self._leaving,
                 self._idle_timeout,
                 keep_alive,
             )
         )
 
 
+def _join(earlier: bytes | None, value: bytes) -> bytes:
+    """Return the values of several headers of one name, joined by commas."""
+    return value if earlier is None else earlier + b", " + value
+
+
 def _idle_timeout(value: bytes) -> float | None:
     """Return the ``timeout`` of a ``Keep-Alive`` header in milliseconds."""
     for part in value.split(b","):
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -82,12 +82,15 @@
         Status of the response.
     body : bytes, default=b"whole"
         Body of the response.
+    headers : tuple of bytes, optional
+        Further header lines of the response.
     """
 
     mode: ResponseMode = ResponseMode.ANSWER
     work: float = 0.0
     status: int = 200
     body: bytes = b"whole"
+    headers: tuple[bytes, ...] = ()
 
 
 class BackendServer:
@@ -187,7 +190,10 @@
             return
         behaviour = self.behave(req)
         if behaviour.mode is ResponseMode.REFUSE:
-            await stream.send(self._framed_response(503, request_id, b"", not_run=True))
+            refusal = self._framed_response(
+                503, request_id, b"", not_run=True, headers=behaviour.headers
+            )
+            await stream.send(refusal)
             return
         self.runs[request_id] += 1
         if not await self._work(stream, behaviour.work):
@@ -223,7 +229,9 @@
         return not is_closed
 
     async def _send(self, stream: Stream, request_id: str, b: Behaviour) -> None:
-        response = self._framed_response(b.status, request_id, b.body)
+        response = self._framed_response(
+            b.status, request_id, b.body, headers=b.headers
+        )
         match b.mode:
             case ResponseMode.ANSWER:
                 await stream.send(response)
@@ -247,7 +255,12 @@
                 raise BrokenStream("the connection is closed on purpose")
 
     def _framed_response(
-        self, status: int, request_id: str, body: bytes, not_run: bool = False
+        self,
+        status: int,
+        request_id: str,
+        body: bytes,
+        not_run: bool = False,
+        headers: tuple[bytes, ...] = (),
     ) -> bytes:
         """Return an encoded response with a ``Content-Length``."""
         names = self._names
@@ -255,6 +268,7 @@
             b"HTTP/1.1 %d X" % status,
             names.request_id + b": " + request_id.encode(),
             names.signature + b": " + self.instance.encode(),
+            *headers,
         ]
         if not_run:
             lines.append(names.not_run + b": 1")
