--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -23,6 +23,8 @@
     from fuchsiagap_node.core.mesh.stream import Stream
 
 _STANDARD_NAMES = HeaderNames()
+# Path of the health check of each server.
+HEALTH_PATH = "/health"
 
 
 class CallFailed(Exception):
@@ -117,6 +119,10 @@
         Number of accepted connections.
     behave : callable
         Returns the `Behaviour` for a request.
+    health_headers : callable
+        Returns further header lines of the response to a health check.
+    n_health_checks : int
+        Number of health checks.
     on_run : callable or None
         Called with the identifier of each request that runs and awaited before the
         response, to make nested calls. It may raise `CallFailed`.
@@ -137,6 +143,8 @@
         self.cancelled: list[str] = []
         self.connections = 0
         self.behave: Callable[[Request], Behaviour] = lambda _: Behaviour()
+        self.health_headers: Callable[[], tuple[bytes, ...]] = tuple
+        self.n_health_checks = 0
         self.on_run: Callable[[str], Awaitable[None]] | None = None
         self.on_crash: Callable[[], None] | None = None
         self.is_up = True
@@ -182,8 +190,13 @@
     async def _answer(self, stream: Stream, req: Request) -> None:
         if self._is_silent:
             await trio.sleep_forever()
-        self.heads.append(req)
         names = self._names
+        if req.target == HEALTH_PATH.encode():
+            self.n_health_checks += 1
+            headers = self.health_headers()
+            await stream.send(self._framed_response(200, "", b"", headers=headers))
+            return
+        self.heads.append(req)
         request_id = _header(req, names.request_id)
         if _header(req, names.target) != self.instance:
             await stream.send(self._framed_response(421, "", b"", not_run=True))
@@ -268,6 +281,7 @@
             b"HTTP/1.1 %d X" % status,
             names.request_id + b": " + request_id.encode(),
             names.signature + b": " + self.instance.encode(),
+            names.instance + b": " + self.instance.encode(),
             *headers,
         ]
         if not_run:
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -13,7 +13,13 @@
 import trio
 
 from fuchsiagap.core.backend_queue.incarnation import BackendReport, BackendState
-from fuchsiagap.core.routes.model import CallerLimits, Route, RouteConfig, ServiceShare
+from fuchsiagap.core.routes.model import (
+    CallerLimits,
+    Route,
+    RouteConfig,
+    Service,
+    ServiceShare,
+)
 from fuchsiagap.core.workspaces.keys import key_digest
 from fuchsiagap.core.workspaces.model import Workspace
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
@@ -260,12 +266,17 @@
         *routes: Route,
         limits: CallerLimits | None = None,
         workspaces: Sequence[Workspace] | None = None,
+        services: Sequence[Service] = (),
     ) -> None:
         """Store the next version of the configuration."""
         limits = limits or CallerLimits()
         declared = None if workspaces is None else tuple(workspaces)
         config = RouteConfig(
-            len(self.known) + 1, routes, limits=limits, workspaces=declared
+            len(self.known) + 1,
+            routes,
+            {service.name: service for service in services},
+            limits=limits,
+            workspaces=declared,
         )
         self.known[config.version] = config
         self.state.put_config(config)
