Keep to the limit of requests that a backend server names

Change: every request to a server passes through the queue of the node beside it, so a token bucket there holds the limit over all nodes, without a call to the store. The other nodes keep the statement and return it after a restart of that node, before any request. A limit is withdrawn by a response to a later request or by the health check, which is requested once a second where nothing else arrives; the rate then doubles every 0.5 s for 3 s. A new incarnation has none. Malformed values have no effect and are logged once.

Stand-in hosts went on reporting only while their node accepted requests; they now do so until they report their departure, as a server with a limit of zero lives on.

--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
@@ -30,6 +30,7 @@
         "link-silent",
         "node-gone",
         "node-suspected",
+        "server-notice",
         "started",
         "stopping",
         "store-lost",
@@ -197,6 +198,10 @@
     "deadline passed": "no answer arrived before the timeout of its route",
     "no backend server": "no backend server of its service was reachable",
     "leaving": "the backend server it was sent to was draining, and there was no other",
+    "limit named by the server": (
+        "the backend servers that had room named limits of requests per second, which"
+        " were used up"
+    ),
     "queue full": "the backend server's queue was full, and so were the others'",
 }
 
--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
@@ -119,6 +119,17 @@
         self.assertEqual(["r1.a"], [line.request for line in diagnosis.call_lines])
         self.assertIn("queue full", diagnosis.cause)
 
+    def test_limit_that_servers_named_is_the_cause(self):
+        lines = [
+            _line(900, "server-notice", instance="i-1", rate=6.0, leaving=False),
+            _line(
+                1_000, "given-up", "r1", cause="limit named by the server", ran=False
+            ),
+        ]
+        cause = diagnose(parse_log(lines).lines, "r1").cause
+        for text in ("limits of requests per second", "did not run", "server-notice"):
+            self.assertIn(text, cause)
+
     def test_command_writes_the_diagnosis_and_what_is_missing(self):
         path = temp_folder(self) / "all.log"
         lines = [
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -4,24 +4,22 @@
 
 from typing import TYPE_CHECKING
 
+import trio
+
 from fuchsiagap.core.backend_queue.health import ServerHealth
 from fuchsiagap.core.backend_queue.incarnation import BackendState, IncarnationTracker
-from fuchsiagap.core.backend_queue.named_limit import (
-    InvalidNoticeError,
-    NoticeTracker,
-    parse_notice,
-)
 from fuchsiagap.core.backend_queue.offered_load import OfferedLoad
 from fuchsiagap.core.backend_queue.queue_timeouts import QueueTimeouts
 from fuchsiagap.core.backend_queue.rank_stats import RankStats
-from fuchsiagap.core.backend_queue.ranked_queue import RankedQueue
+from fuchsiagap.core.backend_queue.ranked_queue import MAX_QUEUE_MS, RankedQueue
+from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap_node.core.mesh.backend_conns import MIN_TIME_LEFT_MS, BackendConns
 from fuchsiagap_node.core.mesh.crash_reports import CrashReports
-from fuchsiagap_node.core.mesh.malformed_input import MalformedInput
 from fuchsiagap_node.core.mesh.outcome import (
     CANCELLED,
     EXPIRED,
     LEAVING,
+    NAMED_LIMIT,
     NO_BACKEND,
     NO_BUDGET,
     OTHER_INCARNATION,
@@ -34,6 +32,7 @@
 )
 from fuchsiagap_node.core.mesh.queue_retry_budget import QueueRetryBudget
 from fuchsiagap_node.core.mesh.server_crashes import ServerCrashes
+from fuchsiagap_node.core.mesh.server_notices import ServerNotices
 
 if TYPE_CHECKING:
     import random
@@ -59,6 +58,8 @@
 # Milliseconds past the deadline of a call for which the server's answer is still
 # awaited, since the server may be sending its own time-out response.
 _ANSWER_GRACE_MS = 80.0
+# Service time assumed for a server that names a limit while its own is not known.
+_ASSUMED_SERVICE_MS = 100.0
 
 
 class BackendQueue:
@@ -89,6 +90,8 @@
         Called when the server's status has changed and has to be published at once.
     reports : CrashReports
         Quarantine of requests that crash servers.
+    notices : ServerNotices
+        Limits and departures that servers state in their responses.
     """
 
     def __init__(
@@ -118,7 +121,8 @@
         self._crashes.on_crash = self.reports.report_crash
         self._conns.on_outcome = self._crashes.record_answer
         self._conns.on_response = self._handle_response
-        self._notices = NoticeTracker()
+        self.notices = ServerNotices(cfg, clock, event_log)
+        self.notices.changed = self._handle_notice
         self._conns.on_unreachable = self._handle_unreachable
         self._conns.is_suspected = lambda: self._crashes.is_suspected
         self._warm_up_ends_at = 0.0
@@ -140,8 +144,21 @@
 
     @property
     def limit(self) -> int:
-        """Concurrency limit of the backend server, in slots."""
-        return self._queue.limit
+        """Concurrency limit of the backend server, in slots.
+
+        If the server names a limit of requests per second, the slots that so many
+        requests occupy.
+        """
+        rate = self.notices.rate()
+        if rate is None:
+            return self._queue.limit
+        service_ms = self._queue.service_ms or _ASSUMED_SERVICE_MS
+        return min(max(round(rate * service_ms / MS_PER_S), 1), self._queue.limit)
+
+    @property
+    def reported_load(self) -> int:
+        """Number of requests that run or wait; at least `limit` if none may start."""
+        return self.load if self.notices.admits() else max(self.load, self.limit)
 
     @property
     def running(self) -> int:
@@ -204,7 +221,10 @@
         if report is None or report.state is not BackendState.READY or self.leaving:
             return ""
         heartbeat = self._cfg.bounds.heartbeat
-        usable = self._health.is_usable(self._clock.now(), heartbeat)
+        usable = (
+            self._health.is_usable(self._clock.now(), heartbeat)
+            and self.notices.accepts_requests
+        )
         return report.instance if usable else ""
 
     def known_instance(self) -> str:
@@ -242,7 +262,7 @@
     ) -> None:
         """Reset the measurements of the earlier incarnation."""
         self._health.forget_failures()
-        self._notices = NoticeTracker()
+        self.notices.begin(report.instance)
         self._n_long_term_samples = 0
         if old is None or old.instance != report.instance:
             return
@@ -271,7 +291,7 @@
         self._crashes.revert(report)
         self._apply_state(report)
         self._health.forget_failures()
-        self._notices = NoticeTracker()
+        self.notices.begin(report.instance)
         self._event_log.event(
             "backend-refuted",
             instance=instance,
@@ -288,13 +308,17 @@
             waiting.job.reply(NotRun(reason))
 
     async def run(self) -> None:
-        """Run the tasks of the connections until cancelled."""
-        await self._conns.run()
+        """Run the tasks of the connections and the health checks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.notices.run)
+            await self._conns.run()
 
     def tick(self) -> None:
         """Expire overdue calls and detect whether the server is usable."""
         now = self._clock.now()
         self._expire(now)
+        self._queue.max_waiting = self._max_waiting()
+        self._start_waiting()
         if not self._health.is_alive(now, self._cfg.bounds.heartbeat):
             self._crashes.record_heartbeat_timeout()
         usable = self.instance()
@@ -307,7 +331,7 @@
         call = pending.call
         instance = self.instance()
         if not instance or instance != call.instance:
-            pending.reply(NotRun(LEAVING if self.known_instance() else NO_BACKEND))
+            pending.reply(NotRun(self._unusable_reason()))
             return
         if not self.retry_budget.admits(call, self.failing()):
             pending.reply(NotRun(NO_BUDGET))
@@ -317,10 +341,14 @@
         self.rank_stats.record_arrival(call.rank, now)
         if call.is_nested:
             self._queue_timeouts.record_arrival(call.rank, now)
-        if self._queue.has_free_slot():
+        if self._queue.has_free_slot() and self.notices.admits():
             self._start(pending)
             return
         if self._queue.is_full() and not self._make_room(call.rank):
+            if self.notices.rate() is not None:
+                self._event_log.counts["limit_refused", ""] += 1
+                pending.reply(NotRun(NAMED_LIMIT))
+                return
             self._event_log.event("queue-full", request=call.request_id, load=self.load)
             pending.reply(NotRun(QUEUE_FULL))
             return
@@ -332,9 +360,22 @@
         worst = self._queue.evict_for(rank)
         if worst is None:
             return False
-        worst.job.reply(NotRun(QUEUE_FULL))
+        has_limit = self.notices.rate() is not None
+        worst.job.reply(NotRun(NAMED_LIMIT if has_limit else QUEUE_FULL))
         return True
 
+    def _unusable_reason(self) -> str:
+        """Return why the server accepts no requests."""
+        if not self.known_instance():
+            return NO_BACKEND
+        is_limited = self.notices.notice.rate == 0.0 and not self.leaving
+        return NAMED_LIMIT if is_limited else LEAVING
+
+    def _max_waiting(self) -> float | None:
+        """Return how many calls may wait for a limit that the server names."""
+        rate = self.notices.rate()
+        return None if rate is None else max(rate * MAX_QUEUE_MS / MS_PER_S, 1.0)
+
     def cancel(self, pending: PendingCall) -> None:
         """Drop a call that its sender has abandoned.
 
@@ -370,6 +411,7 @@
             pending.reply(NotRun(QUARANTINED))
             return
         self._queue.running += 1
+        self.notices.record_start()
         self.rank_stats.record_start(pending.call.rank, now)
         self._at_server[pending] = None
         self._by_id[pending.call.request_id] = pending
@@ -389,7 +431,14 @@
         if isinstance(outcome, NotRun) and outcome.reason == OTHER_INCARNATION:
             self._revert_incarnation(pending.call.instance)
         pending.reply(outcome)
-        while (waiting := self._queue.pop(self._clock.now())) is not None:
+        self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        """Start the waiting calls for which there are slots."""
+        while self.notices.admits():
+            waiting = self._queue.pop(self._clock.now())
+            if waiting is None:
+                return
             if self.instance() == waiting.job.call.instance:
                 self._start(waiting.job)
             else:
@@ -423,29 +472,14 @@
 
     def _handle_response(self, pending: PendingCall, response: Response) -> None:
         """Apply what the server states about itself in a response to a call."""
-        instance = pending.call.instance
-        if instance != self.known_instance():
-            return
-        try:
-            notice = parse_notice(response.rate_limit, response.leaving)
-        except InvalidNoticeError as exc:
-            malformed = MalformedInput(f"response of {instance}", str(exc))
-            self._event_log.log_malformed_input("notice-unreadable", malformed)
-            return
-        if not self._notices.record(notice, pending.started, self._clock.now()):
-            return
-        notice = self._notices.notice
-        self._event_log.event(
-            "server-notice",
-            instance=instance,
-            rate=notice.rate,
-            leaving=notice.is_leaving,
-        )
+        self.notices.handle_response(pending.call.instance, response, pending.started)
 
-    @property
-    def named_rate(self) -> float | None:
-        """Requests per second that the server names as its limit; None for no limit."""
-        return self._notices.notice.rate
+    def _handle_notice(self) -> None:
+        """Apply a changed limit or departure of the server."""
+        self._queue.max_waiting = self._max_waiting()
+        if not self.notices.accepts_requests:
+            self.reject_waiting(self._unusable_reason())
+        self.changed()
 
     def _running_fingerprints(self) -> frozenset[bytes]:
         """Return the fingerprints of the requests that the server runs now."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -17,6 +17,7 @@
 from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
+    NO_RATE,
     PROTOCOL,
     Call,
     Cancel,
@@ -26,6 +27,7 @@
     EncodedConfig,
     Hello,
     Message,
+    NoticeReport,
     Ping,
     Pong,
     Reply,
@@ -51,6 +53,7 @@
 _ANSWERED, _NOT_RUN, _MAY_HAVE_RUN = range(10, 13)
 _CLEARED = 13
 _STALENESS_QUERY, _STALENESS_REPLY, _TOKEN_REQUEST, _TOKEN_GRANT = range(14, 18)
+_NOTICE_REPORT = 18
 
 
 class BadFrame(Exception):
@@ -135,6 +138,8 @@
             return [_TOKEN_REQUEST, query_id, workspace, tokens]
         case TokenGrant(query_id, workspace, tokens, wait, is_owner):
             return [_TOKEN_GRANT, query_id, workspace, tokens, wait, is_owner]
+        case NoticeReport(instance, rate, is_leaving):
+            return [_NOTICE_REPORT, instance, rate, is_leaving]
 
 
 def _encode_reply(reply: Reply) -> list[object]:
@@ -209,9 +214,17 @@
         _check_age(message.age)
     elif isinstance(message, TokenRequest | TokenGrant):
         _check_tokens(message)
+    elif isinstance(message, NoticeReport):
+        _check_notice(message)
     return message
 
 
+def _check_notice(report: NoticeReport) -> None:
+    """Raise `ValueError` unless the rate is in range or absent."""
+    if report.rate != NO_RATE and not 0 <= report.rate < _MAX_NUMBER:
+        raise ValueError(f"rate out of range: {report.rate}")
+
+
 def _check_config_position(config: EncodedConfig) -> None:
     """Raise `ValueError` unless the position in the store's history is valid."""
     if not (
@@ -338,6 +351,7 @@
     _STALENESS_REPLY: (_INT, _INT, _NUMBER),
     _TOKEN_REQUEST: (_INT, _STR, _INT),
     _TOKEN_GRANT: (_INT, _STR, _INT, _NUMBER, _BOOL),
+    _NOTICE_REPORT: (_STR, _NUMBER, _BOOL),
     _ANSWERED: (*_REPLY_PREFIX, _INT, *3 * (_BYTES,)),
     _NOT_RUN: (*_REPLY_PREFIX, _STR, _BOOL),
     _MAY_HAVE_RUN: (*_REPLY_PREFIX, _STR),
@@ -358,6 +372,7 @@
     _STALENESS_REPLY: StalenessReply,
     _TOKEN_REQUEST: TokenRequest,
     _TOKEN_GRANT: TokenGrant,
+    _NOTICE_REPORT: NoticeReport,
 }
 _CRASH_REPORT_KINDS = frozenset({_CRASH, _HELD, _CLEARED})
 _OUTCOME_CLASSES = {_ANSWERED: Answered, _NOT_RUN: NotRun, _MAY_HAVE_RUN: MayHaveRun}
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -46,8 +46,12 @@
     yield Gauge("backend_places", "", backend_queue.limit)
     yield Gauge("backend_running", "", backend_queue.running)
     yield Gauge("backend_waiting", "", backend_queue.load - backend_queue.running)
-    rate = backend_queue.named_rate
+    notices = backend_queue.notices
+    rate = notices.notice.rate
     yield Gauge("backend_named_rate", "", -1.0 if rate is None else rate)
+    yield Gauge("backend_starts_per_s", "", notices.starts_per_s())
+    for instance, other_rate in notices.remembered_rates().items():
+        yield Gauge("server_named_rate", f'server="{instance}"', other_rate)
     yield Gauge("backend_failing_share", "", round(backend_queue.failing(), 3))
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
@@ -16,6 +16,7 @@
     ConfigQuery,
     EncodedConfig,
     Hello,
+    NoticeReport,
     Ping,
     Pong,
     Reply,
@@ -98,8 +99,12 @@
     on_report : callable
         Called with another node's report of requests that crash servers, and with the
         name of that node.
+    on_notice : callable
+        Called with the limit or departure of a server and the name of the node that
+        sent it.
     send_snapshot : callable
-        Sends a newly linked node the quarantine state, before it may send calls.
+        Sends a newly linked node, given its send function and name, the state that it
+        needs before it may send calls.
     answer_staleness : callable
         Returns the reply to a staleness query: how long ago the active configuration
         was last known to be the newest. None if that is not known.
@@ -128,7 +133,8 @@
         self.config_text: Callable[[], EncodedConfig | None] = _no_config
         self.downstream_fullness: Callable[[str], float] = _no_calls
         self.on_report: Callable[[Report, str], None] = _ignore_report
-        self.send_snapshot: Callable[[Post], None] = _ignore
+        self.on_notice: Callable[[NoticeReport, str], None] = _ignore_notice
+        self.send_snapshot: Callable[[Post, str], None] = _ignore_post
         self.answer_staleness: Callable[[StalenessQuery], StalenessReply | None] = (
             _no_staleness
         )
@@ -191,6 +197,8 @@
                 self._greet(link, sender, hello)
             case Crash() | HeldRequest() | Cleared() as report:
                 self.on_report(report, sender.node)
+            case NoticeReport() as notice:
+                self.on_notice(notice, sender.node)
             case StalenessQuery() as query:
                 staleness_reply = self.answer_staleness(query)
                 if staleness_reply is not None:
@@ -208,7 +216,7 @@
         sender.node = hello.node
         self._by_node[hello.node] = link
         # Precedes the status, after which the other node may begin to send calls.
-        self.send_snapshot(link.post)
+        self.send_snapshot(link.post, hello.node)
         self._post_status(link, sender, self._status())
         self.on_hello(hello)
 
@@ -221,7 +229,8 @@
                     self.downstream_fullness(call.route)
                 )
                 sender.load_sent_at = self._clock.now()
-                load, offered = self._backend_queue.load, self._backend_queue.offered()
+                queue = self._backend_queue
+                load, offered = queue.reported_load, queue.offered()
                 link.post(Reply(call.call_id, outcome, load, offered, downstream))
 
         pending = PendingCall.of(call, self._clock.now(), reply)
@@ -267,6 +276,14 @@
     """Ignore a report."""
 
 
+def _ignore_post(_: Post, __: str) -> None:
+    """Send no snapshot."""
+
+
+def _ignore_notice(_: NoticeReport, __: str) -> None:
+    """Ignore a notice."""
+
+
 def _no_config() -> None:
     """Return no configuration."""
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_peer.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_peer.py
@@ -62,7 +62,7 @@
 
         def done(outcome: Outcome) -> None:
             if self._pending_calls.pop(call.call_id, None) is not None:
-                self.target.others = self._backend_queue.load
+                self.target.others = self._backend_queue.reported_load
                 self.target.offered = self._backend_queue.offered()
                 reply(
                     outcome,
@@ -74,7 +74,7 @@
         pending = PendingCall.of(call, self._clock.now(), done)
         self._pending_calls[call.call_id] = pending
         self._backend_queue.submit(pending)
-        self.target.others = self._backend_queue.load
+        self.target.others = self._backend_queue.reported_load
 
     def cancel(self, call_id: int) -> None:
         """Cancel a call."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_status.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_status.py
@@ -39,7 +39,7 @@
         return Status(
             backend_queue.instance(),
             backend_queue.limit,
-            _round_down(backend_queue.load, backend_queue.limit),
+            _round_down(backend_queue.reported_load, backend_queue.limit),
             _round_down(round(backend_queue.offered()), backend_queue.limit),
             round(backend_queue.failing(), 1),
             backend_queue.is_warming(),
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -17,6 +17,8 @@
 PROTOCOL = 2
 # Fullness in the summary of a request that made no nested calls.
 NO_CALLS = -1.0
+# Rate in the report of a server that names no limit.
+NO_RATE = -1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -313,6 +315,25 @@
     is_owner: bool
 
 
+@dataclass(frozen=True, slots=True)
+class NoticeReport:
+    """Statement of a backend server about itself, as its node received it.
+
+    Parameters
+    ----------
+    instance : str
+        Incarnation of the server.
+    rate : float
+        Requests per second that it accepts from all nodes; `NO_RATE` for no limit.
+    is_leaving : bool
+        Whether it is leaving.
+    """
+
+    instance: str
+    rate: float
+    is_leaving: bool
+
+
 Message: TypeAlias = (
     Hello
     | Status
@@ -330,4 +351,5 @@
     | StalenessReply
     | TokenRequest
     | TokenGrant
+    | NoticeReport
 )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -232,8 +232,10 @@
         self._inbound.downstream_fullness = downstream_fullness
         self._workspaces.prepare_inbound(self._inbound)
         self._inbound.on_report = self.reports.handle
-        self._inbound.send_snapshot = self.reports.send_snapshot
-        self.reports.peers = self._post_functions
+        notices = self.backend_queue.notices
+        self._inbound.on_notice = notices.handle_report
+        self._inbound.send_snapshot = self._send_snapshot
+        self.reports.peers = notices.posts = self._post_functions
         self.backend_queue.changed = self._send_status
         self._ticker = Ticker(clock, event_log)
         for interval, do in (
@@ -260,13 +262,25 @@
             self._inbound.last_received_at, link.member.node
         )
         self._workspaces.prepare_link(link)
-        link.send_snapshot = self.reports.send_snapshot
+        notices = self.backend_queue.notices
+        link.on_notice = notices.handle_report
+        link.is_leaving = notices.is_leaving
+        link.send_snapshot = partial(self._send_snapshot, node=link.member.node)
+
+    def _send_snapshot(self, post: Post, node: str) -> None:
+        """Send a newly linked node what it may have missed or forgotten."""
+        notices = self.backend_queue.notices
+        notices.send_own(post)
+        notices.send_remembered(node, post)
+        self.reports.send_snapshot(post)
 
     def _handle_peer_status(self, link: OutboundLink) -> None:
         """Process the status of another node and of its backend server."""
         self._config.handle_peer_status(link)
         target = link.target
         self.reports.resolve_server(target.node, target.service, target.instance)
+        if target.instance:
+            self.backend_queue.notices.forget_earlier(target.node, target.instance)
         if not self._snapshot_wait_over:
             self._snapshot_wait_over = True
             self._send_status()
@@ -305,6 +319,9 @@
         self._rotation.adopt(stored.config)
         self._callers.limits = stored.config.limits
         self._workspaces.adopt(stored.config)
+        service = stored.config.services.get(self.cfg.service)
+        health_path = "" if service is None else service.health_path
+        self.backend_queue.notices.health_path = health_path
         self._send_status()
 
     def _send_status(self) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
@@ -20,6 +20,7 @@
     DownstreamSummary,
     EncodedConfig,
     Hello,
+    NoticeReport,
     Ping,
     Reply,
     StalenessReply,
@@ -120,6 +121,10 @@
         Called when the status of the node changes.
     on_report : callable
         Called with a report of requests that crash backend servers.
+    on_notice : callable
+        Called with the limit or departure of the node's server and the node's name.
+    is_leaving : callable
+        Returns whether an incarnation of a server has stated that it is leaving.
     on_staleness : callable
         Called with the staleness of the node's configuration and the node's name.
     on_token_grant : callable
@@ -169,6 +174,8 @@
         self.on_config: Callable[[EncodedConfig], None] = _ignore
         self.on_status: Callable[[OutboundLink], None] = _ignore
         self.on_report: Callable[[Report, str], None] = _ignore_both
+        self.on_notice: Callable[[NoticeReport, str], None] = _ignore_both
+        self.is_leaving: Callable[[str], bool] = _is_not_leaving
         self.on_staleness: Callable[[StalenessReply, str], None] = _ignore_both
         self.on_token_grant: Callable[[TokenGrant], None] = _ignore
         self.on_open: Callable[[OutboundLink], None] = _ignore
@@ -311,6 +318,8 @@
                 self.on_config(config)
             case Crash() | HeldRequest() | Cleared() as report:
                 self.on_report(report, self.member.node)
+            case NoticeReport() as notice:
+                self.on_notice(notice, self.member.node)
             case StalenessReply() as staleness:
                 self.on_staleness(staleness, self.member.node)
             case TokenGrant() as grant:
@@ -374,6 +383,11 @@
     return float("-inf")
 
 
+def _is_not_leaving(_: str) -> bool:
+    """Return that a server is not leaving."""
+    return False
+
+
 def _ignore(_: object) -> None:
     """Default callback; does nothing."""
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
@@ -11,6 +11,7 @@
 from fuchsiagap_node.core.mesh.frames import BadFrame, decode, encode
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
+    NO_RATE,
     Call,
     Cancel,
     Cleared,
@@ -18,6 +19,7 @@
     DownstreamSummary,
     EncodedConfig,
     Hello,
+    NoticeReport,
     Ping,
     Pong,
     Reply,
@@ -43,6 +45,8 @@
     ConfigQuery(),
     EncodedConfig(2, 3, b"{}"),
     StalenessReply(5, 7, 12.5),
+    NoticeReport("i-1", 24.8, False),
+    NoticeReport("i-2", NO_RATE, True),
     Crash("i-1 17", "certs", 12.5, frozenset({b"a" * 16, b"b" * 16})),
     HeldRequest(b"a" * 16, "certs", 3, 0.0),
     Cleared((b"a" * 16, b"b" * 16)),
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -126,6 +126,8 @@
         Cancels the node and the reports of its server.
     sequence : int
         Number of the last report.
+    state : BackendState
+        State in the last report.
     """
 
     node: Node
@@ -134,10 +136,12 @@
     slots: int = 8
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     sequence: int = 0
+    state: BackendState = BackendState.READY
 
     def report(self, state: BackendState = BackendState.READY) -> None:
         """Send a report of the backend server's state to the node."""
         self.sequence += 1
+        self.state = state
         self.node.backend_queue.handle_report(
             BackendReport(
                 self.server.instance,
@@ -387,12 +391,13 @@
 async def _report(host: Host) -> None:
     """Send a report once a second while the server is up.
 
-    A server that its node no longer accepts sends none until its next incarnation.
+    A server that has reported its departure sends none until its next incarnation.
     """
     backend_queue = host.node.backend_queue
     while True:
         is_known = backend_queue.known_instance() == host.server.instance
-        if host.server.is_up and (backend_queue.instance() or not is_known):
+        is_ready = host.state is BackendState.READY
+        if host.server.is_up and (is_ready or not is_known):
             host.report()
         await trio.sleep(1.0)
 
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/ranked_queue.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/ranked_queue.py
@@ -184,12 +184,15 @@
         Slots in use.
     service_ms : float
         Mean milliseconds that a request holds a slot; 0 if not known.
+    max_waiting : float or None
+        Bound on the queued requests besides that by slots; None for none.
     """
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.running = 0
         self.service_ms = 0.0
+        self.max_waiting: float | None = None
         self._ranks: dict[int, _RankQueue[JobT]] = {}
         self._sequence = count()
         self._waiting = 0
@@ -216,7 +219,8 @@
         per_slot = QUEUE_PER_SLOT
         if self.service_ms > 0.0:
             per_slot = max(per_slot, MAX_QUEUE_MS / self.service_ms)
-        return max(MIN_QUEUE_LENGTH, self.limit * per_slot)
+        capacity = max(MIN_QUEUE_LENGTH, self.limit * per_slot)
+        return capacity if self.max_waiting is None else min(capacity, self.max_waiting)
 
     def push(
         self,
