--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
@@ -320,6 +320,7 @@
                 self.on_report(report, self.member.node)
             case NoticeReport() as notice:
                 self.on_notice(notice, self.member.node)
+                self._apply_departure()
             case StalenessReply() as staleness:
                 self.on_staleness(staleness, self.member.node)
             case TokenGrant() as grant:
@@ -358,11 +359,18 @@
         target.failing = status.failing
         target.warming = status.warming
         target.service_ms = status.service_ms
+        self._apply_departure()
         self.version = status.version
         self.epoch = status.epoch
         self.update_source = status.update_source
         self.on_status(self)
 
+    def _apply_departure(self) -> None:
+        """Mark a server that has stated that it is leaving as unusable."""
+        if self.target.instance and self.is_leaving(self.target.instance):
+            self.target.instance = ""
+            self.target.usable = False
+
     def _handle_loss(self, link: FramedLink) -> None:
         """Fail the pending calls of a link that has ended."""
         if self._link is not None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
@@ -98,7 +98,7 @@
         """Whether the local server takes any requests."""
         notice = self.notice
         is_closed = notice.rate == 0.0 and bool(self.health_path)
-        return not is_closed
+        return not notice.is_leaving and not is_closed
 
     def rate(self) -> float | None:
         """Return the requests per second that may start now; None for no limit."""
