Compare a suspect with the recent crashes of others only

Cause: crashes of other suspects counted as competing evidence however old they were, so after two requests had shared four crashes long before, a new crashing request was held at its fifth crash. Change: crashes older than evidence_ms do not count, as for the suspect itself.

test_old_crashes_of_other_suspects_do_not_delay_a_hold failed before (not held at the third crash).

--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
@@ -270,9 +270,11 @@
 
     def _background(self) -> _Background:
         """Return the figures that each suspect is compared with."""
-        since = self._clock.now() - self._cfg.unrelated_ms
+        now = self._clock.now()
+        evidence_since = now - self._cfg.evidence_ms
+        since = now - self._cfg.unrelated_ms
         counts = Counter(
-            len(suspect.crashes)
+            sum(at >= evidence_since for at in suspect.crashes.values())
             for fingerprint, suspect in self._suspects.items()
             if fingerprint not in self._held
         )
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/quarantine/test_quarantine.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/quarantine/test_quarantine.py
@@ -61,6 +61,15 @@
             self.assertEqual([], fixture.crash(number, b"common"))
         self.assertEqual([b"common"], fixture.crash(13, b"common"))
 
+    def test_old_crashes_of_other_suspects_do_not_delay_a_hold(self):
+        fixture = QuarantineFixture()
+        for number in range(4):
+            fixture.crash(number, b"a", b"b")
+        fixture.now = CFG.evidence_ms + 1.0
+        for number in (11, 12):
+            self.assertEqual([], fixture.crash(number, b"crashing"))
+        self.assertEqual([b"crashing"], fixture.crash(13, b"crashing"))
+
     def test_one_crash_makes_no_strong_suspect(self):
         fixture = QuarantineFixture()
         fixture.crash(1, b"a")
