Tell a repeat whose token was replaced whether the change took effect

What operators saw: a repeat of an unsettled change was answered Forbidden, "nothing was changed", where the first request had taken effect and replaced the token. Cause: the token was checked before the records of changes. Change: a repeat without a valid token is answered from the records: accepted if the change with this id and text is there, unsettled if they do not reach back, forbidden otherwise; at the node first, so that it costs no call.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/settings/write.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/settings/write.py
@@ -119,8 +119,8 @@
         Result of the request.
     """
     change = _Change(team, Action.PUT, text, expected_version, change_id, token, repeat)
-    if (forbidden := _refuse_locally(state, change)) is not None:
-        return forbidden
+    if (refused := _refuse_locally(state, change)) is not None:
+        return refused
     settings = parse_team(team, text)
     if isinstance(settings, SettingsFaults):
         return Invalid(settings)
@@ -139,8 +139,8 @@
     change = _Change(
         team, Action.DELETE, "", expected_version, change_id, token, repeat
     )
-    if (forbidden := _refuse_locally(state, change)) is not None:
-        return forbidden
+    if (refused := _refuse_locally(state, change)) is not None:
+        return refused
     return await _change(state, change)
 
 
@@ -174,13 +174,35 @@
     return bool(digest) and matches_digest(digest, token)
 
 
-def _refuse_locally(state: NodeState, change: _Change) -> Forbidden | None:
-    """Refuse most unauthorized requests without a call to the platform."""
+def _refuse_locally(
+    state: NodeState, change: _Change
+) -> Forbidden | Accepted | Unsettled | None:
+    """Answer most unauthorized requests without a call to the platform."""
     if not state.book.sync_status.complete:
         return None
     if find_local_holder(state, change.team, change.token) is not None:
         return None
-    return _forbidden(change.team)
+    held = state.book.text(change.team)
+    if not change.repeat or held is None:
+        return _forbidden(change.team)
+    return _settle_unauthorized(change, parse_stored_text(held.text), held.version)
+
+
+def _settle_unauthorized(
+    change: _Change, stored: StoredText, version: int
+) -> Forbidden | Accepted | Unsettled:
+    """Return the result of a repeat whose token is not valid for the team.
+
+    The earlier request may have replaced the token itself.
+    """
+    earlier_result = _find_earlier_result(change, stored, version)
+    if isinstance(earlier_result, Accepted):
+        return earlier_result
+    expected = change.expected_version
+    is_sure = any(record.replaced == expected for record in stored.records)
+    if expected is None or is_sure or version <= expected:
+        return _forbidden(change.team)
+    return Unsettled(change.change_id, _describe_short_history(expected), expected)
 
 
 def _forbidden(team: str) -> Forbidden:
@@ -211,9 +233,14 @@
     stored = _read(current)
     by = _find_platform_holder(state, change, current, stored)
     if by is None:
+        if change.repeat:
+            return _settle_unauthorized(change, stored, current.version)
         return _forbidden(change.team)
-    if (earlier_result := _find_earlier_result(change, current)) is not None:
+    earlier_result = _find_earlier_result(change, stored, current.version)
+    if isinstance(earlier_result, Accepted):
         return earlier_result
+    if earlier_result is not None:
+        return _conflict(change, current)
     is_repeat_without_version = change.repeat and change.expected_version is None
     if is_repeat_without_version or not _is_expected(change, current, stored):
         return _conflict(change, current)
@@ -278,23 +305,27 @@
         # The object existed before: the platform has lost it and its version.
         return Unavailable("the platform lost the object that was to be replaced")
     watch.adopt_objects(state, (current,))
-    return _find_earlier_result(change, current) or _conflict(change, current, replaced)
+    earlier_result = _find_earlier_result(change, _read(current), current.version)
+    if isinstance(earlier_result, Accepted):
+        return earlier_result
+    return _conflict(change, current, None if earlier_result else replaced)
 
 
-def _find_earlier_result(
-    change: _Change, current: StoredObject
-) -> Accepted | Conflict | None:
-    """Return the result of this change if it took effect before, else None.
+class _OtherChange:
+    """A change with the same id that has another action or text."""
 
-    The id of an earlier change with another action or text is a conflict.
-    """
-    found = _read(current).find(change.change_id, current.version)
+
+def _find_earlier_result(
+    change: _Change, stored: StoredText, current_version: int
+) -> Accepted | _OtherChange | None:
+    """Return the result of this change if it took effect before, else None."""
+    found = stored.find(change.change_id, current_version)
     if found is None:
         return None
     record, version = found
     if (record.action, record.digest) != (change.action, text_digest(change.body)):
-        return _conflict(change, current)
-    return Accepted(change.team, version, current.version)
+        return _OtherChange()
+    return Accepted(change.team, version, current_version)
 
 
 async def _get(state: NodeState, path: str) -> StoredObject | PlatformUnavailable:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/settings/test_write.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/settings/test_write.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -203,6 +204,67 @@
 
         self.run_node(main)
 
+    def test_repeat_by_a_replaced_token_tells_whether_the_change_took_effect(
+        self,
+    ) -> None:
+        for case in itertools.product(
+            ("lost answer", "lost request"),
+            ("none", "other change", "other token", "history cut"),
+            ("same node", "informed node", "late node"),
+        ):
+            for replaces_token in (True, False):
+                self.check_repeat(*case, replaces_token)
+
+    def check_repeat(
+        self, loss: str, between: str, where: str, replaces_token: bool
+    ) -> None:
+        """Check the result of a repeat against what took effect."""
+        case = f"{loss}, {between}, {where}, {replaces_token}"
+        new_token = "new-token" if replaces_token else TOKEN
+        text = f"[team]\ntokens = ops {digest_of(new_token)}\npriority = 3\n"
+
+        async def main(fleet: SettingsFleet, node: NodeState) -> None:
+            base = self.accepted(await put(node, 1, 0)).version
+            other = fleet.add("certs-2", first=["certs-1:7000"])
+            await fleet.until(lambda: other.book.sync_status.complete)
+            is_applied = loss == "lost answer"
+            fleet.store.set_faults(
+                PlatformFaults(
+                    lose_answers=float(is_applied), lose_requests=float(not is_applied)
+                )
+            )
+            first = await put_settings(node, TEAM, text, base, "change-x", TOKEN)
+            self.assertIsInstance(first, Unsettled, case)
+            fleet.store.set_faults(PlatformFaults())
+            if where == "late node":
+                fleet.store.set_cut_off({"certs-2"})
+            if between in ("other change", "history cut"):
+                n_changes = MAX_RECORDS + 1 if between == "history cut" else 1
+                for number in range(n_changes):
+                    change_id = f"later-{number}"
+                    await put_settings(
+                        node, TEAM, text, None, change_id, OPERATORS_TOKEN
+                    )
+            elif between == "other token":
+                third = f"[team]\ntokens = ops {digest_of('third')}\n"
+                await put_settings(node, TEAM, third, None, "later", OPERATORS_TOKEN)
+            await trio.sleep(0.0 if where == "late node" else 5.0)
+            fleet.store.cut_off.clear()
+            repeater = node if where == "same node" else other
+            result = await put_settings(
+                repeater, TEAM, text, base, "change-x", TOKEN, repeat=True
+            )
+            if between == "history cut":
+                # Nothing was changed, or the history does not tell.
+                if is_applied:
+                    self.assertIsInstance(result, (Accepted, Unsettled), case)
+            elif is_applied or between == "none":
+                self.assertIsInstance(result, Accepted, case)
+            else:
+                self.assertIsInstance(result, (Conflict, Forbidden), case)
+
+        self.run_node(main)
+
     def test_a_repeat_after_a_later_change_returns_both_versions(self) -> None:
         async def main(fleet: SettingsFleet, node: NodeState) -> None:
             first = self.accepted(await put(node, 1, 0)).version
