Bound the memory of the queue by what waits

Cause: started requests stayed in by_arrival, which was trimmed only at its front and where a request was dropped late; 1,000,000 requests of one rank left 2,000,002 entries. Change: dropped requests are removed once they outnumber the waiting ones by 64; amortised, each request is moved a bounded number of times.

test_memory_is_bounded_by_the_waiting_requests failed before (2,000,002), now below 200.

Not measured: the resident size of a node over ten minutes of load.

--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/ranked_queue.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/ranked_queue.py
@@ -22,6 +22,8 @@
 MAX_QUEUE_MS = 300.0
 # Minimum queue capacity, for backend servers with few slots.
 MIN_QUEUE_LENGTH = 16
+# Dropped requests beyond the number of waiting ones that a rank keeps at most.
+_MAX_DROPPED = 64
 # Share of a request's remaining time for which it yields to better ranks; afterwards it
 # is guaranteed a share of the starts. At 0.1, the best rank loses two percentage points
 # of its success rate under high load (0.66 in place of 0.68).
@@ -75,7 +77,8 @@
 class _RankQueue(Generic[JobT]):
     """The queued requests of one rank.
 
-    Dropped requests stay in the containers until they reach the front or are swept.
+    Dropped requests stay in the containers until they reach the front, are swept, or
+    outnumber the others.
 
     Parameters
     ----------
@@ -152,10 +155,19 @@
     def sweep(self) -> None:
         """Remove dropped requests from the containers."""
         if any(item.dropped for item in self.all()):
-            self.in_time = [entry for entry in self.in_time if not entry[2].dropped]
-            heapq.heapify(self.in_time)
-            self.late = deque(w for w in self.late if not w.dropped)
-            self.by_arrival = deque(w for w in self.by_arrival if not w.dropped)
+            self._remove_dropped()
+
+    def sweep_if_many(self) -> None:
+        """Remove dropped requests if they outnumber the waiting ones."""
+        kept = max(len(self.by_arrival), len(self.in_time) + len(self.late))
+        if kept > 2 * self.n_waiting + _MAX_DROPPED:
+            self._remove_dropped()
+
+    def _remove_dropped(self) -> None:
+        self.in_time = [entry for entry in self.in_time if not entry[2].dropped]
+        heapq.heapify(self.in_time)
+        self.late = deque(w for w in self.late if not w.dropped)
+        self.by_arrival = deque(w for w in self.by_arrival if not w.dropped)
 
 
 class RankedQueue(Generic[JobT]):
@@ -271,7 +283,9 @@
         if item.dropped:
             return False
         item.dropped = True
-        self._ranks[item.rank].n_waiting -= 1
+        queue = self._ranks[item.rank]
+        queue.n_waiting -= 1
+        queue.sweep_if_many()
         self._waiting -= 1
         return True
 
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_ranked_queue.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_ranked_queue.py
@@ -164,3 +164,22 @@
         for _ in range(MIN_QUEUE_LENGTH - 1):
             queue.push("a", 0, 100.0, 100.0, 0.0)
         self.assertFalse(queue.is_full())
+
+    def test_memory_is_bounded_by_the_waiting_requests(self):
+        queue = RankedQueue(1)
+        first = queue.push("first", 0, 1e9, 1e9, 0.0)
+        for number in range(1_000_000):
+            now = float(number)
+            item = queue.push(number, 0, now + 500.0, now + 100.0, now)
+            self.assertTrue(queue.drop(item))
+        ranks = queue._ranks.values()
+        kept = sum(len(rank.by_arrival) + len(rank.in_time) for rank in ranks)
+        self.assertLess(kept, 200)
+        self.assertIs(first, queue.pop(2e6))
+
+    def test_memory_is_bounded_if_all_requests_of_a_rank_are_popped(self):
+        queue = RankedQueue(1)
+        for number in range(100_000):
+            queue.push(number, 0, number + 500.0, number + 100.0, float(number))
+            self.assertIsNotNone(queue.pop(float(number)))
+        self.assertLess(sum(len(r.by_arrival) for r in queue._ranks.values()), 200)
