Bound the times of starts that a named limit keeps

Cause: the times were trimmed only where the gauge was read. Change: at each start. test_memory_of_starts_is_bounded_if_nobody_reads_their_rate failed before (10,000 kept).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
@@ -114,12 +114,16 @@
         self._limiter.record_start(now)
         if self._limiter.rate(now) is not None:
             self._starts.append(now)
+            self._forget_starts()
 
-    def starts_per_s(self) -> float:
-        """Return the requests sent in the last second while there is a limit."""
+    def _forget_starts(self) -> None:
         begin = self._clock.now() - _USE_SPAN_MS
         while self._starts and self._starts[0] < begin:
             self._starts.popleft()
+
+    def starts_per_s(self) -> float:
+        """Return the requests sent in the last second while there is a limit."""
+        self._forget_starts()
         return len(self._starts) * MS_PER_S / _USE_SPAN_MS
 
     def begin(self, instance: str) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
@@ -3,11 +3,17 @@
 import itertools
 import random
 from collections import Counter
+from unittest.mock import Mock
 
 import trio
 from testtools import TestCase
 
+from fuchsiagap.core.clock import Clock
 from fuchsiagap.core.routes.model import Service, ServiceShare
+from fuchsiagap_node.core.mesh.event_log import EventLog
+from fuchsiagap_node.core.mesh.http_names import HeaderNames
+from fuchsiagap_node.core.mesh.http_response import Response
+from fuchsiagap_node.core.mesh.server_notices import ServerNotices
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 from fuchsiagap_node.tests.core.mesh.test_gauges import metrics_of
 from fuchsiagap_standins.mesh.backend_server import HEALTH_PATH, Behaviour
@@ -322,6 +328,20 @@
         self.assertEqual([20.0, 20.0], named)
 
 
+class TestServerNotices(TestCase):
+    def test_memory_of_starts_is_bounded_if_nobody_reads_their_rate(self):
+        times = itertools.count(0.0, 10.0)
+        clock = Clock(lambda: next(times), lambda: 0.0)
+        cfg = Mock(backend="127.0.0.1:1", names=HeaderNames())
+        notices = ServerNotices(cfg, clock, EventLog("n-1", clock))
+        notices.begin("i-1")
+        response = Response(200, b"", b"", b"", rate_limit=b"100")
+        notices.handle_response("i-1", response, 0.0)
+        for _ in range(10_000):
+            notices.record_start()
+        self.assertLess(len(notices._starts), 200)
+
+
 class TestLeavingServer(TestCase):
     def run_leaving(self, restart=False):
         """Return the arrivals 2 s after a server said that it leaves, or later."""
