--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/ranked_queue.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/ranked_queue.py
@@ -351,7 +351,11 @@
         QueueItem or None
             The evicted request; None if the new one must be rejected.
         """
-        others = [other for other in self._ranks if other != rank]
+        others = [
+            other
+            for other, queue in self._ranks.items()
+            if other != rank and queue.n_waiting
+        ]
         if not others:
             return None
         guaranteed = GUARANTEED_START_SHARE * self._capacity() / len(others)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_ranked_queue.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_ranked_queue.py
@@ -183,3 +183,15 @@
             queue.push(number, 0, number + 500.0, number + 100.0, float(number))
             self.assertIsNotNone(queue.pop(float(number)))
         self.assertLess(sum(len(r.by_arrival) for r in queue._ranks.values()), 200)
+
+    def test_guaranteed_part_of_the_queue_is_shared_by_the_ranks_present(self):
+        queue = RankedQueue(1)
+        for rank in range(2, 12):
+            queue.drop(queue.push("gone", rank, 1e9, 1e9, 0.0))
+        while not queue.is_full():
+            queue.push("urgent", 0, 1e9, 1e9, 0.0)
+        evicted = 0
+        while queue.evict_for(1) is not None:
+            queue.push("later", 1, 1e9, 1e9, 0.0)
+            evicted += 1
+        self.assertEqual(4, evicted)
