Bound the time for a whole request of a caller

Cause: each piece that was received restarted the time limit, so a sender of a byte every 10 or 15 s held its connection within the limits of size. Change: a head ends 30 s after its first byte, a body 300 s after its head or at the deadline that the request names, if that is later.

test_slow_sender_of_a_head_does_not_hold_the_connection and the one of a body failed before (120 and 800 s); test_slow_body_within_the_deadline_of_its_ request_is_not_cut shows what is not cut.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/callers.py
@@ -17,10 +17,12 @@
 from fuchsiagap_node.core.callpath.entry import CallRequest, enter, refuse
 from fuchsiagap_node.core.callpath.home_tickets import issue_batch, settle
 from fuchsiagap_node.core.edges.http_server import (
+    BODY_TIMEOUT_S,
     BadRequest,
     HttpRequest,
     HttpResponse,
     HttpServerSettings,
+    RawHeaders,
     serve_http,
 )
 
@@ -29,6 +31,9 @@
 
     from fuchsiagap_node.core.state import NodeState
 
+_DEADLINE_HEADER = call_headers.DEADLINE.encode()
+# Digits of a deadline, in milliseconds, that extend the time limit of a body.
+_MAX_DEADLINE_DIGITS = 9
 _LOG = logging.getLogger(__name__)
 _TICKETS_PATH = "/tickets"
 _SETTLE_PREFIX = "/tickets/"
@@ -114,11 +119,24 @@
             open_requests.n_calls -= 1
 
     cfg = HttpServerSettings(
-        limits.header_bytes, limits.body_bytes, reserve, add_open_requests
+        limits.header_bytes,
+        limits.body_bytes,
+        reserve,
+        add_open_requests,
+        _body_timeout,
     )
     await serve_http(listener, cfg, handle, _error_response)
 
 
+def _body_timeout(headers: RawHeaders) -> float:
+    """Return the seconds within which the body of a request must be complete."""
+    for name, value in headers:
+        if name == _DEADLINE_HEADER and value.isdigit():
+            deadline_s = int(value[:_MAX_DEADLINE_DIGITS]) / MS_PER_S
+            return max(deadline_s, BODY_TIMEOUT_S)
+    return BODY_TIMEOUT_S
+
+
 async def _handle_request(state: NodeState, req: HttpRequest) -> HttpResponse:
     if req.target == _TICKETS_PATH:
         return _issue_tickets(state, req)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_server.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_server.py
@@ -25,8 +25,12 @@
 _READ_AHEAD_BYTES = 256 * 1024
 # Limits each wait for more data of a request head, and the sending of a response.
 _IDLE_TIMEOUT_S = 75.0
-# Limits each wait for more data of a body, not the time for the whole body.
-_BODY_TIMEOUT_S = 20.0
+# Limits the time from the first byte of a request head to its end.
+_HEAD_TIMEOUT_S = 30.0
+# Limits each wait for more data of a body.
+_BODY_IDLE_TIMEOUT_S = 20.0
+# Limits the time for a whole body, unless its request has a later deadline.
+BODY_TIMEOUT_S = 300.0
 _VERSIONS = (b"1.0", b"1.1")
 _CONTENT_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
@@ -94,6 +98,10 @@
     detail: str
 
 
+def _default_body_timeout(_: RawHeaders) -> float:
+    return BODY_TIMEOUT_S
+
+
 @dataclass(frozen=True, slots=True)
 class HttpServerSettings:
     """Limits of the server and functions that track open requests.
@@ -110,12 +118,16 @@
     add_open_requests : callable
         Called with 1 once the head of a request is read and with -1 once its response
         is written, so that a graceful shutdown can wait for open requests.
+    body_timeout : callable, optional
+        Returns the seconds within which a body must be complete, given the headers; by
+        default `BODY_TIMEOUT_S`.
     """
 
     header_bytes: int
     body_bytes: int
     reserve: Callable[[int], bool]
     add_open_requests: Callable[[int], None]
+    body_timeout: Callable[[RawHeaders], float] = _default_body_timeout
 
 
 Handler: TypeAlias = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -176,12 +188,19 @@
                 self.buffer_drained = trio.Event()
                 await self.buffer_drained.wait()
 
-    async def next_event(self, timeout: float) -> object:
+    async def next_event(
+        self,
+        timeout: float,
+        ends_at: float = float("inf"),
+        begun_timeout: float = float("inf"),
+    ) -> object:
         """Return the next event of `http`.
 
-        Returns `_ConnectionEnded` if the input ended, or if no data was received for
-        `timeout` seconds.
+        Returns `_ConnectionEnded` if the input ended, if no data was received for
+        `timeout` seconds, at the time `ends_at`, or `begun_timeout` seconds after a
+        part of the event was received.
         """
+        has_begun = False
         while True:
             event = self.http.next_event()
             if event is not h11.NEED_DATA:
@@ -194,8 +213,12 @@
                     status_code=100, headers=[]
                 )
                 await self.stream.send_all(self.http.send(continue_response) or b"")
+            now = trio.current_time()
+            if self.http.trailing_data[0] and not has_begun:
+                has_begun = True
+                ends_at = min(ends_at, now + begun_timeout)
             self.data_received = trio.Event()
-            with trio.move_on_after(timeout) as scope:
+            with trio.move_on_at(min(now + timeout, ends_at)) as scope:
                 await self.data_received.wait()
             if scope.cancelled_caught:
                 return _ConnectionEnded()
@@ -313,7 +336,7 @@
 
 async def _read_head(conn: _Connection) -> h11.Request | BadRequest | _ConnectionEnded:
     try:
-        event = await conn.next_event(_IDLE_TIMEOUT_S)
+        event = await conn.next_event(_IDLE_TIMEOUT_S, begun_timeout=_HEAD_TIMEOUT_S)
     except h11.RemoteProtocolError as exc:
         return _malformed_request(exc)
     if not isinstance(event, h11.Request):
@@ -347,9 +370,10 @@
     parts: list[bytes] = []
     n_bytes = 0
     error: BadRequest | _ConnectionEnded = _ConnectionEnded()
+    ends_at = trio.current_time() + conn.cfg.body_timeout(list(head.headers))
     try:
         while True:
-            event = await conn.next_event(_BODY_TIMEOUT_S)
+            event = await conn.next_event(_BODY_IDLE_TIMEOUT_S, ends_at)
             if isinstance(event, h11.EndOfMessage):
                 return b"".join(parts)
             if not isinstance(event, h11.Data):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_http_server.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from contextlib import suppress
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
@@ -214,6 +215,44 @@
 
         self._run(scenario)
 
+    def test_slow_sender_of_a_head_does_not_hold_the_connection(self) -> None:
+        self._check_slow(b"GET /ok HTTP/1.1\r\nhost: a\r\n", b"x", 10.0, 60.0)
+
+    def test_slow_sender_of_a_body_does_not_hold_the_connection(self) -> None:
+        head = _POST + b"content-length: 9000\r\n\r\n"
+        self._check_slow(head, b"x", 15.0, 400.0)
+
+    def _check_slow(
+        self, begin: bytes, part: bytes, pause_s: float, limit_s: float
+    ) -> None:
+        """Check that a request that is sent in small parts ends within a limit."""
+
+        async def scenario(server: _Server) -> None:
+            stream = server.connect()
+            began_at = trio.current_time()
+            await stream.send_all(begin)
+            with trio.move_on_after(2 * limit_s), suppress(trio.BrokenResourceError):
+                while True:
+                    await trio.sleep(pause_s)
+                    await stream.send_all(part)
+            self.assertLess(trio.current_time() - began_at, limit_s)
+            self.assertEqual(0, server.counts["handled"])
+
+        self._run(scenario)
+
+    def test_slow_body_within_the_deadline_of_its_request_is_not_cut(self) -> None:
+        async def scenario(server: _Server) -> None:
+            server.cfg = replace(server.cfg, body_timeout=lambda _: 900.0)
+            stream = server.connect()
+            await stream.send_all(_POST + b"content-length: 50\r\n\r\n")
+            for _ in range(50):
+                await trio.sleep(15.0)
+                await stream.send_all(b"x")
+            received = bytes(await stream.receive_some(1000))
+            self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+
+        self._run(scenario)
+
     def test_body_above_the_size_limit(self) -> None:
         head = _POST + b"content-length: %d\r\n\r\n" % (_BODY_BYTES + 1)
         self._check_rejected([head + b"x" * (_BODY_BYTES + 1)])
