Model of named limits: idle seconds and late responses

Requests that never pause left no tokens to accumulate, and responses that came at once hid a statement taken out of order.

--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_named_limit_exhaustive.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_named_limit_exhaustive.py
@@ -1,12 +1,13 @@
 """All orders of restarts and outdated statements around a server with a limit.
 
-A server names a limit in each response. Requests always wait. In each second the node
+A server names a limit in each response. In each second requests wait or not, the node
 beside it may be restarted, with the statement that other nodes return to it, or another
 node may send it an outdated one. No four seconds from the first ones on may have more
 requests than one and a half times the limit allows, and five more.
 """
 
 import itertools
+from collections import deque
 
 from testtools import TestCase
 
@@ -23,8 +24,10 @@
 # Milliseconds after the first statement from which the limit is checked.
 CONTACT_MS = 500
 RATES = (0.0, 1.0, 6.0, 40.0)
-EVENTS = ("nothing", "restart", "outdated, higher", "outdated, none")
-UNBOUNDED_RATE = 10.0 * max(RATES)
+EVENTS = ("nothing", "restart", "outdated", "idle")
+# Requests that wait at each moment, and milliseconds from a request to its response.
+MAX_STARTS = 100
+RESPONSE_MS = 300.0
 
 
 class NodeBeside:
@@ -47,24 +50,28 @@
     node = NodeBeside(0.0)
     node.record(ServerNotice(rate), 0.0, 0.0)
     starts = []
+    responses = deque()
     for number, event in enumerate(events):
         begin = number * 1_000.0
         match event:
             case "restart":
                 node = NodeBeside(begin, node.tracker.notice)
-            case "outdated, higher":
+                responses.clear()
+            case "outdated":
                 node.record(ServerNotice(rate * 4.0 + 8.0), float("-inf"), begin)
-            case "outdated, none":
                 node.record(NO_NOTICE, float("-inf"), begin)
         for tick in range(0, 1_000, TICK_MS):
             now = begin + tick
+            while responses and responses[0] + RESPONSE_MS <= now:
+                node.record(ServerNotice(rate), responses.popleft(), now)
             n_started = 0
-            while node.limiter.admits(now) and n_started < UNBOUNDED_RATE:
+            while (
+                event != "idle" and n_started < MAX_STARTS and node.limiter.admits(now)
+            ):
                 node.limiter.record_start(now)
                 starts.append(now)
+                responses.append(now)
                 n_started += 1
-            if n_started:
-                node.record(ServerNotice(rate), now, now + 1.0)
     return starts
 
 
