--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/wire/codec.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/wire/codec.py
@@ -170,7 +170,8 @@
         raise _ShapeError(
             f"expected an array that starts with a tag, got {value!r:.60}"
         )
-    codec = _BY_TAG.get(value[0]) if isinstance(value[0], int) else None
+    # A boolean would find the codec of the equal integer.
+    codec = _BY_TAG.get(value[0]) if type(value[0]) is int else None
     if codec is None:
         raise _ShapeError(f"unknown tag {value[0]!r:.60}")
     return codec.read(value[1:])
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/wire/test_codec.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/wire/test_codec.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from fuchsiagap.core.calls.outcome import Answered
 from fuchsiagap_node.core.wire.codec import MalformedFrame, decode, encode, to_array
 from fuchsiagap_node.core.wire.messages_call import CallMessage
 from fuchsiagap_standins.builders import a_head, a_ticket, outcomes
@@ -54,6 +55,14 @@
         for value in (valid[:-1], [*valid, 1], [valid[0], valid[1][:-1], valid[2]]):
             self.assertIsInstance(decode(cbor2.dumps(value)), MalformedFrame)
 
+    def test_boolean_is_neither_a_tag_nor_a_number(self) -> None:
+        valid = to_array(CallMessage(a_head(), b"body"))
+        answered = to_array(next(o for o in outcomes() if isinstance(o, Answered)))
+        self.assertEqual(1, answered[0])
+        got = decode(cbor2.dumps([True, *answered[1:]]))
+        self.assertIsInstance(got, MalformedFrame)
+        self.assertNotIsInstance(decode(cbor2.dumps(valid)), MalformedFrame)
+
     def test_fault_names_the_field(self) -> None:
         valid = to_array(CallMessage(a_head(), b"body"))
         got = decode(cbor2.dumps([valid[0], valid[1], "text"]))
