Do not take a position reported by another node for proven

A node that had watched, stepped down and heard of a later version on a link kept its position as proven, so it could have started a watch from a revision whose history was lost. Found by reading the change. Now only a read or the result of a watch proves a position.

test_cursor_reported_by_another_node_is_not_proven failed before.

--- a/packages/fuchsiagap/src/fuchsiagap/core/freshness/store_view.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/freshness/store_view.py
@@ -215,6 +215,7 @@
             return
         if self.cursor is None or cursor.revision > self.cursor.revision:
             self._move_to(cursor, version, now)
+            self.is_proven = False
 
     def _move_to(self, cursor: Cursor, version: int, now: Milliseconds) -> None:
         epoch = self.epoch if cursor.epoch == NO_EPOCH else cursor.epoch
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_store_view.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/freshness/test_store_view.py
@@ -40,6 +40,13 @@
         view.note_interruption()
         self.assertFalse(view.can_watch(10.0))
 
+    def test_cursor_reported_by_another_node_is_not_proven(self):
+        view = view_at(revision=50)
+        view.note_version(Cursor(3, 60), 8, 5_000.0)
+        self.assertFalse(view.can_watch(5_000.0))
+        self.assertTrue(view.note_watch(Cursor(3, 61), 9, 5_010.0))
+        self.assertTrue(view.can_watch(5_010.0))
+
     def test_position_is_compared_with_the_cursor(self):
         view = view_at(revision=50)
         for revision, expected in (
