--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
@@ -80,6 +80,7 @@
         self._limiter = RateLimiter(clock.now())
         self._responded_at = clock.now()
         self._logged: set[str] = set()
+        self._is_publication_due = False
         self._starts: deque[Milliseconds] = deque()
         # Statements received from other nodes, by incarnation, with the node beside it;
         # those of the local server stem from the time before a restart of this node.
@@ -132,6 +133,7 @@
         self._tracker = NoticeTracker()
         self._limiter = RateLimiter(self._clock.now())
         self._logged.clear()
+        self._is_publication_due = False
         _, remembered = self._remembered.pop(instance, ("", NO_NOTICE))
         if remembered != NO_NOTICE:
             self._apply(remembered, float("-inf"))
@@ -172,6 +174,7 @@
 
     def _apply(self, notice: ServerNotice, sent_at: Milliseconds) -> None:
         now = self._clock.now()
+        before = self._tracker.notice
         if not self._tracker.record(notice, sent_at, now):
             return
         notice = self._tracker.notice
@@ -179,6 +182,19 @@
         if rate == 0.0 and not self.health_path:
             rate = _TRICKLE_RATE
         self._limiter.set_rate(rate, now)
+        is_new_rate = bool(notice.rate) and bool(before.rate)
+        if is_new_rate and notice.is_leaving is before.is_leaving:
+            self._is_publication_due = True
+        else:
+            self._publish()
+
+    def _publish(self) -> None:
+        """Log the statement of the local server and send it to all linked nodes.
+
+        A new rate waits for the next check, as it may change with each response.
+        """
+        self._is_publication_due = False
+        notice = self.notice
         self._event_log.event(
             "server-notice",
             instance=self._instance,
@@ -249,9 +265,11 @@
         }
 
     async def run(self) -> None:
-        """Request the health check of a server with a limit that gets no requests."""
+        """Publish new rates, and check the health of servers without requests."""
         while True:
             await trio.sleep(_CHECK_INTERVAL_MS / MS_PER_S)
+            if self._is_publication_due:
+                self._publish()
             silent = self._clock.now() - self._responded_at
             has_limit = self.notice.rate is not None
             if has_limit and self.health_path and silent >= _HEALTH_CHECK_AFTER_MS:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
@@ -8,7 +8,7 @@
 import trio
 from testtools import TestCase
 
-from fuchsiagap.core.clock import Clock
+from fuchsiagap.core.clock import Clock, trio_clock
 from fuchsiagap.core.routes.model import Service, ServiceShare
 from fuchsiagap_node.core.mesh.event_log import EventLog
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
@@ -329,6 +329,33 @@
 
 
 class TestServerNotices(TestCase):
+    def test_limit_that_changes_with_each_response_is_not_sent_with_each(self):
+        async def main():
+            clock = trio_clock()
+            cfg = Mock(backend="127.0.0.1:1", names=HeaderNames())
+            notices = ServerNotices(cfg, clock, EventLog("n-1", clock))
+            sent = []
+            notices.posts = lambda: {"n-2": sent.append}
+            notices.begin("i-1")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(notices.run)
+                for number in range(1_000):
+                    rate = b"%d" % (2_000 - number)
+                    response = Response(200, b"", b"", b"", rate_limit=rate)
+                    notices.handle_response("i-1", response, clock.now())
+                    await trio.sleep(0.001)
+                response = Response(200, b"", b"", b"", leaving=b"1")
+                notices.handle_response("i-1", response, clock.now())
+                at_once = sent[-1]
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+            return sent, at_once, notices.notice
+
+        sent, at_once, notice = run_in_memory(main)
+        self.assertLess(len(sent), 10)
+        self.assertTrue(at_once.is_leaving)
+        self.assertEqual(notice.rate, None if sent[-1].rate < 0 else sent[-1].rate)
+
     def test_memory_of_starts_is_bounded_if_nobody_reads_their_rate(self):
         times = itertools.count(0.0, 10.0)
         clock = Clock(lambda: next(times), lambda: 0.0)
