Use only health paths that fit a request line

Found by reading the change: the path of a configuration went into the request line as it is, with spaces or line ends. Without a valid path a server with a limit of zero is found again by one request in 5 s, as without any path.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -5,6 +5,7 @@
 import gc
 import itertools
 import random
+import re
 import secrets
 import signal
 from dataclasses import fields, replace
@@ -95,6 +96,8 @@
 # quarantined requests before it sends requests of its own callers to its local backend
 # server. Meanwhile, other nodes, which have the quarantine state, use that server.
 _SNAPSHOT_WAIT_MS = 1_000.0
+# Path of a health check that can be sent in a request line.
+_HEALTH_PATH = re.compile(r"/[!-~]*", re.ASCII)
 # Milliseconds before a background task that failed is restarted.
 _RESTART_DELAY_MS = 500.0
 # Allocations between two garbage collections of the youngest generation. The request
@@ -321,7 +324,8 @@
         self._workspaces.adopt(stored.config)
         service = stored.config.services.get(self.cfg.service)
         health_path = "" if service is None else service.health_path
-        self.backend_queue.notices.health_path = health_path
+        is_valid = _HEALTH_PATH.fullmatch(health_path) is not None
+        self.backend_queue.notices.health_path = health_path if is_valid else ""
         self._send_status()
 
     def _send_status(self) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
@@ -369,6 +369,23 @@
         self.assertLess(len(notices._starts), 200)
 
 
+class TestHealthPath(TestCase):
+    def test_path_that_does_not_fit_a_request_line_is_not_used(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                seen = []
+                for path in ("/ok", "", "no-slash", "/a b", "/a\r\nX: y", "/\u00e9"):
+                    service = Service("certs", path, 1)
+                    deployment.put_config(a_route("read"), services=(service,))
+                    await trio.sleep(0.5)
+                    seen.append(host.node.backend_queue.notices.health_path)
+                return seen
+
+        self.assertEqual(["/ok", "", "", "", "", ""], run_in_memory(main))
+
+
 class TestLeavingServer(TestCase):
     def run_leaving(self, restart=False):
         """Return the arrivals 2 s after a server said that it leaves, or later."""
