Read the limit and the departure of a response independently

Found by reading the change: a malformed limit hid a valid departure beside it, and the reverse. test_malformed_header_does_not_hide_the_other_one failed before.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
@@ -18,7 +18,8 @@
     NoticeTracker,
     RateLimiter,
     ServerNotice,
-    parse_notice,
+    parse_leaving,
+    parse_rate,
 )
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap_node.core.mesh.http_client import CallFailed, HttpClient
@@ -155,12 +156,30 @@
         if instance != self._instance:
             return
         self._responded_at = self._clock.now()
+        self._apply(
+            ServerNotice(self._read_rate(response), self._read_leaving(response)),
+            sent_at,
+        )
+
+    def _read_rate(self, response: Response) -> float | None:
+        """Return the limit in a response; the current one if it is malformed."""
+        if response.rate_limit is None:
+            return None
         try:
-            notice = parse_notice(response.rate_limit, response.leaving)
+            return parse_rate(response.rate_limit)
         except InvalidNoticeError as exc:
             self._log_malformed(str(exc))
-            return
-        self._apply(notice, sent_at)
+            return self.notice.rate
+
+    def _read_leaving(self, response: Response) -> bool:
+        """Whether a response announces a departure; False if that is malformed."""
+        if response.leaving is None:
+            return False
+        try:
+            return parse_leaving(response.leaving)
+        except InvalidNoticeError as exc:
+            self._log_malformed(str(exc))
+            return False
 
     def _log_malformed(self, reason: str) -> None:
         """Log a malformed statement, each one once for an incarnation."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
@@ -8,6 +8,7 @@
 import trio
 from testtools import TestCase
 
+from fuchsiagap.core.backend_queue.named_limit import ServerNotice
 from fuchsiagap.core.clock import Clock, trio_clock
 from fuchsiagap.core.routes.model import Service, ServiceShare
 from fuchsiagap_node.core.mesh.event_log import EventLog
@@ -368,6 +369,22 @@
             notices.record_start()
         self.assertLess(len(notices._starts), 200)
 
+    def test_malformed_header_does_not_hide_the_other_one(self):
+        clock = Clock(lambda: 0.0, lambda: 0.0)
+        cfg = Mock(backend="127.0.0.1:1", names=HeaderNames())
+        for rate, leaving, expected in (
+            (b"x", b"1", ServerNotice(6.0, True)),
+            (b"3", b"yes", ServerNotice(3.0, False)),
+        ):
+            notices = ServerNotices(cfg, clock, EventLog("n-1", clock))
+            notices.begin("i-1")
+            for headers in ((b"6", None), (rate, leaving)):
+                response = Response(
+                    200, b"", b"", b"", rate_limit=headers[0], leaving=headers[1]
+                )
+                notices.handle_response("i-1", response, 0.0)
+            self.assertEqual(expected, notices.notice)
+
 
 class TestHealthPath(TestCase):
     def test_path_that_does_not_fit_a_request_line_is_not_used(self):
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/named_limit.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/named_limit.py
@@ -45,27 +45,29 @@
 NO_NOTICE = ServerNotice()
 
 
-def parse_notice(rate: bytes | None, leaving: bytes | None) -> ServerNotice:
-    """Parse the header values of a response.
+def parse_rate(value: bytes) -> float:
+    """Parse the header that names a limit; return the requests per second.
 
     Parameters
     ----------
-    rate : bytes or None
-        Value of the header that names the rate; None without that header. Values of
-        several headers of that name are joined by commas.
-    leaving : bytes or None
-        The same for the header that announces the departure.
+    value : bytes
+        Value of the header; values of several headers are joined by commas.
 
     Raises
     ------
     InvalidNoticeError
-        If a value is malformed.
+        If the value is malformed.
     """
-    if rate is not None and not _RATE.fullmatch(rate.strip()):
-        raise InvalidNoticeError(f"rate: got {_show(rate)}, expected a decimal number")
-    if leaving is not None and leaving.strip() != _LEAVING:
-        raise InvalidNoticeError(f"departure: got {_show(leaving)}, expected '1'")
-    return ServerNotice(None if rate is None else float(rate), leaving is not None)
+    if not _RATE.fullmatch(value.strip()):
+        raise InvalidNoticeError(f"rate: got {_show(value)}, expected a decimal number")
+    return float(value)
+
+
+def parse_leaving(value: bytes) -> bool:
+    """Parse the header that announces a departure; see `parse_rate`."""
+    if value.strip() != _LEAVING:
+        raise InvalidNoticeError(f"departure: got {_show(value)}, expected '1'")
+    return True
 
 
 def _show(value: bytes) -> str:
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_named_limit.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_named_limit.py
@@ -8,7 +8,8 @@
     NoticeTracker,
     RateLimiter,
     ServerNotice,
-    parse_notice,
+    parse_leaving,
+    parse_rate,
 )
 
 INVALID_RATES = (
@@ -34,17 +35,17 @@
 
 class TestParseNotice(TestCase):
     def test_valid_values(self):
-        for value, rate in ((b"24.8", 24.8), (b" 6 ", 6.0), (b"0", 0.0), (None, None)):
-            self.assertEqual(ServerNotice(rate), parse_notice(value, None))
-        self.assertEqual(ServerNotice(None, True), parse_notice(None, b"1"))
+        for value, rate in ((b"24.8", 24.8), (b" 6 ", 6.0), (b"0", 0.0)):
+            self.assertEqual(rate, parse_rate(value))
+        self.assertTrue(parse_leaving(b"1"))
 
     def test_invalid_values_are_named_in_the_error(self):
         for value in INVALID_RATES:
             with ExpectedException(InvalidNoticeError, "rate: got .*expected"):
-                parse_notice(value, None)
+                parse_rate(value)
         for value in (b"", b"yes", b"1, 1", b"2"):
             with ExpectedException(InvalidNoticeError, "departure: got .*expected"):
-                parse_notice(None, value)
+                parse_leaving(value)
 
 
 class TestNoticeTracker(TestCase):
