--- a/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/quarantine/quarantine.py
@@ -173,8 +173,8 @@
 
     @property
     def n_suspects(self) -> int:
-        """Number of requests with evidence against them."""
-        return len(self._suspects)
+        """Number of requests with evidence against them that are not held."""
+        return len(self._suspects.keys() - self._held.keys())
 
     def record_answer(self, fingerprint: bytes) -> bool:
         """Record that a server answered a request.
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/quarantine/test_quarantine.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/quarantine/test_quarantine.py
@@ -173,6 +173,14 @@
             fixture.quarantine.apply_hold(HeldRequest(b"a", "certs", 5, 500.0))
         )
 
+    def test_held_request_does_not_count_as_a_suspect(self):
+        fixture = QuarantineFixture()
+        for number in range(3):
+            fixture.crash(number, b"crashing", b"%d" % number)
+        self.assertEqual(
+            (1, 3), (fixture.quarantine.n_held, fixture.quarantine.n_suspects)
+        )
+
     def test_memory_is_bounded(self):
         fixture = QuarantineFixture(max_suspects=50, max_held=20, max_crashes=30)
         for number in range(200):
