Log the reachability of a data centre as it is recorded

A data centre that has lost all members is recorded as reachable while the log said that it was not. test_data_centre_without_members_is_logged_as_it_is_ recorded failed before.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/gossip/reachability.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/gossip/reachability.py
@@ -58,8 +58,9 @@
     reached = reached or await _any_replies(state, members[1:])
     if not reached and was_paused(state, started, 2 * cfg.probe_timeout):
         return
-    if membership.set_reachable(data_centre, reached or not members):
-        _LOG.info("data centre %s reachable: %s", data_centre, reached)
+    is_reachable = reached or not members
+    if membership.set_reachable(data_centre, is_reachable):
+        _LOG.info("data centre %s reachable: %s", data_centre, is_reachable)
     if not reached and len(members) == 1:
         # A single node has no neighbour in its data centre to detect its failure.
         membership.suspect(members[0].node, members[0].incarnation)
