Say where a time line lacks later events of a node

fuchsiagap timeline dropped what follows 100 pages and called itself complete; an empty first page that announces more raised IndexError. Now truncated, in the text, the JSON and the exit code.

--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/timeline/fetch.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/timeline/fetch.py
@@ -117,9 +117,11 @@
         events.extend(_event(one) for one in page["events"])
         overwritten = overwritten or page["overwritten"]
         if not page["more"]:
+            return RingContents(node.name, tuple(events), overwritten)
+        if not page["events"]:
             break
         after = events[-1].stamp
-    return RingContents(node.name, tuple(events), overwritten)
+    return RingContents(node.name, tuple(events), overwritten, truncated=True)
 
 
 def _event(record: dict[str, Any]) -> Event:
--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/timeline/merge.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/timeline/merge.py
@@ -25,11 +25,14 @@
         Events in the order of their stamps.
     overwritten : bool
         Whether some of the requested events had been overwritten by later ones.
+    truncated : bool
+        Whether later events were not read.
     """
 
     process: str
     events: tuple[Event, ...]
     overwritten: bool = False
+    truncated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,17 +66,20 @@
         Names of those processes whose older events had been overwritten.
     missing : tuple of MissingNode
         Nodes whose events could not be fetched, sorted by name.
+    truncated : tuple of str
+        Names of those processes whose later events were not read.
     """
 
     events: tuple[Event, ...]
     processes: tuple[str, ...]
     overwritten: tuple[str, ...] = ()
     missing: tuple[MissingNode, ...] = ()
+    truncated: tuple[str, ...] = ()
 
     @property
     def complete(self) -> bool:
-        """Whether no node is missing and no events had been overwritten."""
-        return not self.overwritten and not self.missing
+        """Whether no node is missing, and no events were overwritten or not read."""
+        return not (self.overwritten or self.missing or self.truncated)
 
 
 def merge(
@@ -100,4 +106,5 @@
         processes=tuple(ring.process for ring in by_name),
         overwritten=tuple(ring.process for ring in by_name if ring.overwritten),
         missing=tuple(sorted(missing, key=attrgetter("name"))),
+        truncated=tuple(ring.process for ring in by_name if ring.truncated),
     )
--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/timeline/text.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/timeline/text.py
@@ -45,7 +45,7 @@
 
 
 def gap_lines(timeline: Timeline) -> Iterator[str]:
-    """Yield a line for each node with missing or overwritten events."""
+    """Yield a line for each node with missing, overwritten or unread events."""
     for node in timeline.missing:
         yield (
             f"missing: {node.name} ({node.address}) did not answer: {node.detail};"
@@ -56,6 +56,11 @@
             f"overwritten: older events of {process} had been overwritten in its"
             " ring; run the command sooner, or with a shorter --since"
         )
+    for process in timeline.truncated:
+        yield (
+            f"truncated: events of {process} after the last one shown were not read;"
+            " use a shorter --since, or select a call"
+        )
 
 
 def json_lines(timeline: Timeline) -> Iterator[str]:
@@ -79,6 +84,7 @@
             "events": len(timeline.events),
             "processes": timeline.processes,
             "overwritten": timeline.overwritten,
+            "truncated": timeline.truncated,
             "missing": [
                 {"node": node.name, "address": node.address, "detail": node.detail}
                 for node in timeline.missing
