Add fields to messages between nodes without unlinking the earlier release

Cause: the present speed of servers, the coverage of the retry budget and the workspace of a call have to pass between nodes, and the decoder of the earlier release rejects additional fields.

Change: the identifier of a process ends with the level of messages that it understands. Fields of level 1 are appended only on links where both sides understand them, and only if they differ from their defaults, so that deployments without such data send the same bytes as before.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -15,6 +15,7 @@
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap_node.core.mesh.backend_conns import MIN_TIME_LEFT_MS, BackendConns
 from fuchsiagap_node.core.mesh.crash_reports import CrashReports
+from fuchsiagap_node.core.mesh.messages import NO_SPEED
 from fuchsiagap_node.core.mesh.outcome import (
     CANCELLED,
     EXPIRED,
@@ -195,6 +196,18 @@
         """Return the share of recent requests that were refused or failed."""
         return self._health.failing(self._clock.now())
 
+    def refusing(self) -> float:
+        """Return the share of requests that the server refused with slots free."""
+        return 0.0
+
+    @property
+    def speed(self) -> int:
+        """Time that work takes at the server now, in percent of the usual.
+
+        `NO_SPEED` if the server does not state it.
+        """
+        return NO_SPEED
+
     @property
     def heartbeat_age(self) -> Milliseconds:
         """Milliseconds since the server's last heartbeat, or since the node started."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -14,10 +14,13 @@
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.fingerprint import FINGERPRINT_BYTES
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
+from fuchsiagap.core.retries.backend_budget import N_SAMPLING_KEYS
 from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
+    NO_FLOW,
     NO_RATE,
+    NO_SPEED,
     PROTOCOL,
     Call,
     Cancel,
@@ -54,18 +57,48 @@
 _CLEARED = 13
 _STALENESS_QUERY, _STALENESS_REPLY, _TOKEN_REQUEST, _TOKEN_GRANT = range(14, 18)
 _NOTICE_REPORT = 18
+# Exclusive upper bound of the flow of a call.
+N_FLOWS = 2**16
 
 
 class BadFrame(Exception):
     """A frame that is not a valid message."""
 
 
-def encode(message: Message) -> bytes:
-    """Encode a message as a frame with its length prefix."""
-    payload = cbor2.dumps(_encode_fields(message))
+def encode(message: Message, level: int = 0) -> bytes:
+    """Encode a message as a frame with its length prefix.
+
+    Parameters
+    ----------
+    message : Message
+        The message.
+    level : int, default=0
+        Level of extension that the receiver understands; see `message_level`. Fields
+        beyond it are left out, and so are those that have their defaults.
+    """
+    fields = _encode_fields(message)
+    if level > 0:
+        fields += _encode_extension(message)
+    payload = cbor2.dumps(fields)
     return len(payload).to_bytes(_PREFIX_BYTES, "big") + payload
 
 
+def _encode_extension(message: Message) -> list[object]:
+    """Return the fields that level 1 adds at the end; empty if all are defaults."""
+    match message:
+        case Reply(_, _, _, _, downstream, speed):
+            covered_keys = downstream.covered_keys
+            if speed != NO_SPEED or covered_keys != N_SAMPLING_KEYS:
+                return [speed, covered_keys]
+        case Call() as m:
+            if m.flow != NO_FLOW:
+                return [m.flow]
+        case Status() as m:
+            if m.speed != NO_SPEED or m.refusing:
+                return [m.speed, m.refusing]
+    return []
+
+
 def _encode_fields(message: Message) -> list[object]:
     match message:
         case Call() as m:
@@ -143,8 +176,9 @@
 
 
 def _encode_reply(reply: Reply) -> list[object]:
-    call_id, outcome, load, offered, downstream = reply
-    common = [call_id, load, round(offered * _OFFERED_SCALE), *downstream]
+    call_id, outcome, load, offered, downstream, _ = reply
+    fullness, calls, failed, _ = downstream
+    common = [call_id, load, round(offered * _OFFERED_SCALE), fullness, calls, failed]
     match outcome:
         case Answered(status, reason, headers, body):
             return [_ANSWERED, *common, status, reason, headers, body]
@@ -185,10 +219,13 @@
 def _decode_fields(kind: int, rest: list[object]) -> Message:
     if kind == _HELLO and rest[_PROTOCOL_INDEX:] != [PROTOCOL]:
         raise ValueError(f"protocol {rest[_PROTOCOL_INDEX:]} instead of {PROTOCOL}")
-    _check_types(kind, rest)
+    is_extended = _check_types(kind, rest)
     if kind in _CRASH_REPORT_KINDS:
         return _decode_crash_report(kind, rest)
     if kind in _OUTCOME_CLASSES:
+        speed, covered_keys = NO_SPEED, N_SAMPLING_KEYS
+        if is_extended:
+            *rest, speed, covered_keys = rest  # type: ignore[assignment]
         call_id, load, offered, fullness, calls, failed, *outcome = rest
         call_outcome = _OUTCOME_CLASSES[kind](*outcome)  # type: ignore[arg-type]
         if not (
@@ -196,11 +233,14 @@
             and 0 <= offered < _MAX_NUMBER  # type: ignore[operator]
             and NO_CALLS <= fullness < _MAX_NUMBER  # type: ignore[operator]
             and 0 <= calls < _MAX_NUMBER  # type: ignore[operator]
+            and 0 <= speed < _MAX_NUMBER
+            and 0 <= covered_keys <= N_SAMPLING_KEYS
         ):
-            raise ValueError(f"number of a reply out of range: {rest[1:5]}")
+            found = [*rest[1:5], speed, covered_keys]
+            raise ValueError(f"number of a reply out of range: {found}")
         offered_slots = offered / _OFFERED_SCALE  # type: ignore[operator]
-        downstream = DownstreamSummary(fullness, calls, failed)  # type: ignore[arg-type]
-        return Reply(call_id, call_outcome, load, offered_slots, downstream)  # type: ignore[arg-type]
+        downstream = DownstreamSummary(fullness, calls, failed, covered_keys)  # type: ignore[arg-type]
+        return Reply(call_id, call_outcome, load, offered_slots, downstream, speed)  # type: ignore[arg-type]
     message = cast("Message", _MESSAGE_CLASSES[kind](*rest))
     if isinstance(message, Status):
         _check_status(message)
@@ -242,9 +282,11 @@
 
 
 def _check_call(call: Call) -> None:
-    """Raise `ValueError` unless the time left and the fingerprint are valid."""
+    """Raise `ValueError` unless the time left, fingerprint and flow are valid."""
     if not -_MAX_NUMBER < call.time_left < _MAX_NUMBER:
         raise ValueError(f"time left out of range: {call.time_left}")
+    if not NO_FLOW <= call.flow < N_FLOWS:
+        raise ValueError(f"flow out of range: {call.flow}")
     if len(call.fingerprint) != FINGERPRINT_BYTES:
         raise ValueError(f"fingerprint of {len(call.fingerprint)} bytes")
 
@@ -289,21 +331,32 @@
     return [joined[at : at + FINGERPRINT_BYTES] for at in offsets]
 
 
-def _check_types(kind: int, rest: list[object]) -> None:
-    """Raise `TypeError` unless the fields have the types of their message.
+def _check_types(kind: int, rest: list[object]) -> bool:
+    """Return whether a message has the fields of its extension.
 
     Valid combinations are cached, because every call and reply is checked here.
+
+    Raises
+    ------
+    TypeError
+        If the fields do not have the types of their message.
     """
     types = tuple(map(type, rest))
-    if (kind, types) in _VALIDATED_TYPES:
-        return
+    is_extended = _VALIDATED_TYPES.get((kind, types))
+    if is_extended is not None:
+        return is_extended
     expected = _TYPES[kind]
+    extension = _EXTENSION_TYPES.get(kind, ())
+    is_extended = bool(extension) and len(types) == len(expected) + len(extension)
+    if is_extended:
+        expected += extension
     if len(types) != len(expected):
         raise TypeError(f"{len(types)} fields instead of {len(expected)}")
     for index, (found, allowed) in enumerate(zip(types, expected, strict=True)):
         if found not in allowed:
             raise TypeError(f"field {index}: unexpected type {found.__name__}")
-    _VALIDATED_TYPES.add((kind, types))
+    _VALIDATED_TYPES[kind, types] = is_extended
+    return is_extended
 
 
 def _check_status(status: Status) -> None:
@@ -316,6 +369,8 @@
         and 0 <= status.version < _MAX_NUMBER
         and 0 <= status.service_ms < _MAX_NUMBER
         and NO_EPOCH <= status.epoch < _MAX_NUMBER
+        and 0 <= status.speed < _MAX_NUMBER
+        and 0 <= status.refusing <= 1
     ):
         raise ValueError(f"number of a status out of range: {status}")
 
@@ -356,9 +411,18 @@
     _NOT_RUN: (*_REPLY_PREFIX, _STR, _BOOL),
     _MAY_HAVE_RUN: (*_REPLY_PREFIX, _STR),
 }
-# Cache of valid combinations of kind and field types. Its size is bounded, since
-# only valid combinations are added.
-_VALIDATED_TYPES: set[tuple[int, tuple[type, ...]]] = set()
+# Types of the fields that level 1 adds at the end of messages.
+_REPLY_EXTENSION = (_INT, _INT)
+_EXTENSION_TYPES: dict[int, tuple[tuple[type, ...], ...]] = {
+    _STATUS: (_INT, _NUMBER),
+    _CALL: (_INT,),
+    _ANSWERED: _REPLY_EXTENSION,
+    _NOT_RUN: _REPLY_EXTENSION,
+    _MAY_HAVE_RUN: _REPLY_EXTENSION,
+}
+# Valid combinations of kind and field types, and whether they have the fields of the
+# extension. The size of the cache is bounded, since only valid combinations are added.
+_VALIDATED_TYPES: dict[tuple[int, tuple[type, ...]], bool] = {}
 _MESSAGE_CLASSES = {
     _HELLO: Hello,
     _STATUS: Status,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
@@ -231,7 +231,9 @@
                 sender.load_sent_at = self._clock.now()
                 queue = self._backend_queue
                 load, offered = queue.reported_load, queue.offered()
-                link.post(Reply(call.call_id, outcome, load, offered, downstream))
+                link.post(
+                    Reply(call.call_id, outcome, load, offered, downstream, queue.speed)
+                )
 
         pending = PendingCall.of(call, self._clock.now(), reply)
         pending_calls[call.call_id] = pending
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
@@ -9,6 +9,7 @@
 import trio
 
 from fuchsiagap_node.core.mesh.frames import BadFrame, FrameReader, encode
+from fuchsiagap_node.core.mesh.message_level import message_level
 from fuchsiagap_node.core.mesh.messages import Cancel, Hello, Message
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
@@ -63,6 +64,7 @@
         self._decompressor: zlib._Decompress | None = None
         self._on_message: Callable[[Message], None] = _ignore
         self._end_reason: Exception | None = None
+        self._level = 0
         self.last_received_at: Milliseconds = clock.now()
         self.hello_sent = False
 
@@ -77,7 +79,7 @@
             Identifier of the call that the message carries, 0 for other messages; see
             `unsent`.
         """
-        frame = encode(message)
+        frame = encode(message, self._level)
         if self._compressor is None and not self._outbox and not self._is_writing:
             self._send_now(frame, call_id)
             return
@@ -194,6 +196,8 @@
         self.last_received_at = self._clock.now()
         try:
             for message in self._decode(data):
+                if isinstance(message, Hello):
+                    self._level = message_level(message.incarnation)
                 self._on_message(message)
         except Exception as exc:
             self.end(exc)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_peer.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_peer.py
@@ -64,6 +64,7 @@
             if self._pending_calls.pop(call.call_id, None) is not None:
                 self.target.others = self._backend_queue.reported_load
                 self.target.offered = self._backend_queue.offered()
+                self.target.speed = self._backend_queue.speed
                 reply(
                     outcome,
                     pending.summarize_nested_calls(
@@ -93,3 +94,5 @@
         target.failing = status.failing
         target.warming = status.warming
         target.service_ms = status.service_ms
+        target.speed = status.speed
+        target.refusing = status.refusing
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_status.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_status.py
@@ -47,6 +47,8 @@
             self._config.update_source,
             self._reported_service_ms(),
             self._config.epoch,
+            backend_queue.speed,
+            round(backend_queue.refusing(), 1),
         )
 
     def _reported_service_ms(self) -> int:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -7,6 +7,7 @@
 
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
+from fuchsiagap.core.retries.backend_budget import N_SAMPLING_KEYS
 from fuchsiagap.core.watching.watcher_rank import UpdateSource
 
 if TYPE_CHECKING:
@@ -19,6 +20,10 @@
 NO_CALLS = -1.0
 # Rate in the report of a server that names no limit.
 NO_RATE = -1.0
+# Present speed of a server that does not state it.
+NO_SPEED = 0
+# Flow of requests without a workspace.
+NO_FLOW = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +77,12 @@
         Service time of a request at the server, in milliseconds; 0 if unknown.
     epoch : int
         Epoch in the last answer of the store to this node; `NO_EPOCH` before.
+    speed : int
+        Time that work takes at the server at this moment, in percent of the usual;
+        `NO_SPEED` if it does not state that.
+    refusing : float
+        Share of recent requests that the server refused although it stated free slots,
+        from 0 to 1.
     """
 
     instance: str
@@ -84,6 +95,8 @@
     update_source: UpdateSource = UpdateSource.PEERS
     service_ms: int = 0
     epoch: int = NO_EPOCH
+    speed: int = NO_SPEED
+    refusing: float = 0.0
 
 
 class Call(NamedTuple):
@@ -125,6 +138,8 @@
         Name of the route.
     fingerprint : bytes
         Digest shared by all attempts; see `fuchsiagap.core.quarantine.fingerprint`.
+    flow : int, default=NO_FLOW
+        Hash of the workspace of the root request, of 16 bits.
     """
 
     call_id: int
@@ -142,6 +157,7 @@
     request_id: str
     route: str
     fingerprint: bytes
+    flow: int = NO_FLOW
 
 
 class DownstreamSummary(NamedTuple):
@@ -155,11 +171,15 @@
         Number of nested calls, including the calls that these made.
     failed : bool, default=False
         Whether the server failed because one of the nested calls did.
+    covered_keys : int, default=N_SAMPLING_KEYS
+        Number of the lowest sampling keys whose call trees, of the rank of the call,
+        the retry budgets of the called services cover.
     """
 
     fullness: float
     calls: int
     failed: bool = False
+    covered_keys: int = N_SAMPLING_KEYS
 
 
 class Reply(NamedTuple):
@@ -177,6 +197,8 @@
         Concurrency that the requests arriving there would use if all ran.
     downstream : DownstreamSummary
         Summary of its nested calls.
+    speed : int, default=NO_SPEED
+        As in `Status`.
     """
 
     call_id: int
@@ -184,6 +206,7 @@
     load: int
     offered: float
     downstream: DownstreamSummary
+    speed: int = NO_SPEED
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -42,6 +42,7 @@
 from fuchsiagap_node.core.mesh.local_status import LocalStatus
 from fuchsiagap_node.core.mesh.malformed_input import MalformedInput
 from fuchsiagap_node.core.mesh.member_sync import MemberSync
+from fuchsiagap_node.core.mesh.message_level import with_level
 from fuchsiagap_node.core.mesh.messages import Hello
 from fuchsiagap_node.core.mesh.outbound_link import (
     LIVENESS_CHECK_INTERVAL_MS as LINK_CHECK_INTERVAL_MS,
@@ -174,7 +175,7 @@
         self._rotation = WeightedRoundRobin()
         own = Member(
             cfg.node,
-            secrets.token_hex(6),
+            with_level(secrets.token_hex(6)),
             cfg.addresses.peers,
             cfg.data_centre,
             cfg.service,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
@@ -342,6 +342,7 @@
     def _handle_reply(self, reply: Reply) -> None:
         self.target.others = max(reply.load - self.target.own_in_flight, 0)
         self.target.offered = reply.offered
+        self.target.speed = reply.speed
         on_outcome = self._pending.pop(reply.call_id, None)
         if on_outcome is None:
             self._event_log.counts["late_replies", ""] += 1
@@ -359,6 +360,8 @@
         target.failing = status.failing
         target.warming = status.warming
         target.service_ms = status.service_ms
+        target.speed = status.speed
+        target.refusing = status.refusing
         self._apply_departure()
         self.version = status.version
         self.epoch = status.epoch
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/peers.py
@@ -86,6 +86,10 @@
         """Iterate over the backend servers whose nodes are reachable."""
         return (p.target for p in self._by_node.values() if p.target.usable)
 
+    def state_speed(self) -> bool:
+        """Whether any reachable backend server states its present speed."""
+        return any(target.speed for target in self.reached())
+
     def targets(self, service: str) -> Sequence[Target]:
         """Return the backend servers of a service."""
         peers = self._by_service.get(service)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_loads.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_loads.py
@@ -96,7 +96,7 @@
 
     def record_reply(self, service: str, route: str, below: DownstreamSummary) -> None:
         """Update a route from the summary of nested calls in a reply."""
-        fullness, calls, failed = below
+        fullness, calls, failed, _ = below
         now = self._clock.now()
         known = self._summaries.get((service, route))
         if known is None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
@@ -3,12 +3,18 @@
 import contextlib
 import os
 import random
+from dataclasses import replace
 
 import cbor2
 from testtools import TestCase
 
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap_node.core.mesh.frames import BadFrame, decode, encode
+from fuchsiagap_node.core.mesh.message_level import (
+    MESSAGE_LEVEL,
+    message_level,
+    with_level,
+)
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
     NO_RATE,
@@ -51,13 +57,29 @@
     HeldRequest(b"a" * 16, "certs", 3, 0.0),
     Cleared((b"a" * 16, b"b" * 16)),
 )
+# Messages with fields of level 1, each with the message that level 0 makes of it.
+PLAIN_CALL = MESSAGES[2]
+PLAIN_REPLIES = MESSAGES[3:6]
+EXTENDED_MESSAGES = (
+    (replace(STATUS, speed=250, refusing=0.5), STATUS),
+    (PLAIN_CALL._replace(flow=65_535), PLAIN_CALL),
+    *(
+        (
+            reply._replace(
+                speed=100, downstream=reply.downstream._replace(covered_keys=12)
+            ),
+            reply,
+        )
+        for reply in PLAIN_REPLIES
+    ),
+)
 # Number of mutated frames; set `FUZZ_RUNS` for longer runs, such as 100,000.
 N_RUNS = int(os.environ.get("FUZZ_RUNS", "3000"))
 
 
-def payload(message):
+def payload(message, level=0):
     """Return the payload of a message's frame."""
-    return encode(message)[_PREFIX_BYTES:]
+    return encode(message, level)[_PREFIX_BYTES:]
 
 
 def changed(message, index, value):
@@ -67,11 +89,62 @@
     return cbor2.dumps(fields)
 
 
+class TestMessageLevel(TestCase):
+    def test_level_is_read_from_the_identifier_of_a_process(self):
+        # An identifier of the earlier release, or a malformed level, must not make a
+        # node send fields that end the link.
+        for incarnation, level in (
+            ("3f9c", 0),
+            ("", 0),
+            ("3f9c~", 0),
+            ("3f9c~0", 0),
+            ("3f9c~-1", 0),
+            ("3f9c~1x", 0),
+            ("3f9c~\u0661", 0),
+            (with_level("3f9c"), MESSAGE_LEVEL),
+            ("3f9c~1", 1),
+            ("3f9c~99", MESSAGE_LEVEL),
+        ):
+            self.assertEqual(level, message_level(incarnation), incarnation)
+
+
 class TestFrames(TestCase):
     def test_each_message_survives_a_round_trip(self):
         for message in MESSAGES:
             self.assertEqual(message, decode(payload(message)))
 
+    def test_extended_message_survives_a_round_trip(self):
+        for message, _ in EXTENDED_MESSAGES:
+            self.assertEqual(message, decode(payload(message, level=1)))
+
+    def test_earlier_release_gets_no_field_that_it_would_reject(self):
+        for message, plain in EXTENDED_MESSAGES:
+            self.assertEqual(payload(plain), payload(message))
+
+    def test_fields_with_defaults_are_not_sent(self):
+        # They would add bytes to each message of deployments that do not use them.
+        for message in MESSAGES:
+            self.assertEqual(payload(message), payload(message, level=1))
+
+    def test_extension_out_of_range_is_rejected(self):
+        status, call, reply, *_ = (payload(m, level=1) for m, _ in EXTENDED_MESSAGES)
+        for frame, index, value in (
+            (status, -2, -1),
+            (status, -2, 1.5),
+            (status, -1, 1.1),
+            (status, -1, float("nan")),
+            (call, -1, -1),
+            (call, -1, 2**16),
+            (call, -1, "7"),
+            (reply, -1, 257),
+            (reply, -1, -1),
+            (reply, -2, -1),
+            (reply, -2, True),
+        ):
+            fields = cbor2.loads(frame)
+            fields[index] = value
+            self.assertRaises(BadFrame, decode, cbor2.dumps(fields))
+
     def test_field_of_a_wrong_type_is_rejected(self):
         for index, value in (
             (1, 5),
--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -67,6 +67,12 @@
         Slots that the requests arriving there need, as last reported.
     service_ms : float, default=0.0
         Mean service time in milliseconds, as last reported; 0 if not known.
+    speed : int, default=0
+        Time that work takes there at this moment, in percent of the usual, as last
+        reported; 0 if the server does not state it.
+    refusing : float, default=0.0
+        Share of requests that it refused although it stated free slots, as last
+        reported.
     """
 
     node: str
@@ -81,6 +87,8 @@
     warming: bool = False
     offered: float = 0.0
     service_ms: float = 0.0
+    speed: int = 0
+    refusing: float = 0.0
 
     def fullness(self) -> float:
         """Return the requests per slot if one more request is sent."""
