--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -334,12 +334,8 @@
 def _check_types(kind: int, rest: list[object]) -> bool:
     """Return whether a message has the fields of its extension.
 
-    Valid combinations are cached, because every call and reply is checked here.
-
-    Raises
-    ------
-    TypeError
-        If the fields do not have the types of their message.
+    Valid combinations are cached, because every call and reply is checked here. Raises
+    `TypeError` if the fields do not have the types of their message.
     """
     types = tuple(map(type, rest))
     is_extended = _VALIDATED_TYPES.get((kind, types))
