Decide in one place whether contention is controlled

Cause: the new controls are to leave earlier deployments as they are.

Change: a scope that holds where the configuration has workspaces or a reachable server states its speed. Result: not used yet.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -24,6 +24,7 @@
 from fuchsiagap_node.core.mesh.callers import IDLE_CHECK_INTERVAL_MS, CallerListener
 from fuchsiagap_node.core.mesh.config_sync import REFRESH_MS as CONFIG_REFRESH_MS
 from fuchsiagap_node.core.mesh.config_sync import ConfigSync
+from fuchsiagap_node.core.mesh.contention_scope import ContentionScope
 from fuchsiagap_node.core.mesh.crash_reports import FLUSH_MS as CRASH_REPORT_FLUSH_MS
 from fuchsiagap_node.core.mesh.entry import Entry
 from fuchsiagap_node.core.mesh.event_log import FLUSH_MS, EventLog
@@ -159,6 +160,7 @@
         self._poller.on_fault = partial(event_log.log_exception, "connection")
         self.backend_queue = BackendQueue(cfg, clock, event_log, rng, self._poller)
         self._peers = Peers()
+        self._contention_scope = ContentionScope(self._peers, clock)
         self._route_loads = RouteLoads(self._peers, clock)
         downstream_fullness = self._route_loads.downstream_fullness
         self._local_peer = LocalPeer(
@@ -319,7 +321,8 @@
 
     def _adopt(self, stored: StoredConfig) -> None:
         """Activate a configuration."""
-        self.entry.table = RouteTable(stored.config)
+        self.entry.table = table = RouteTable(stored.config)
+        self._contention_scope.has_workspaces = table.keys is not None
         self._rotation.adopt(stored.config)
         self._callers.limits = stored.config.limits
         self._workspaces.adopt(stored.config)
