Let a cancelled call that ends soon finish instead of closing its connection

Change: in the scope of contention control, a running call without nested calls, whose slot nobody awaits, is left to finish if it is expected to end within 50 ms, for 200 ms at most. Others are aborted as before.

Result: tests of the queue; not yet measured on a deployment.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from fuchsiagap.core.backend_queue.abort_rule import MAX_ABANDONED_MS, may_finish
 from fuchsiagap.core.backend_queue.health import ServerHealth
 from fuchsiagap.core.backend_queue.incarnation import BackendState, IncarnationTracker
 from fuchsiagap.core.backend_queue.offered_load import OfferedLoad
@@ -93,6 +94,8 @@
         Quarantine of requests that crash servers.
     notices : ServerNotices
         Limits and departures that servers state in their responses.
+    controls_contention : callable
+        Returns whether the control of contention is in force; see `ContentionScope`.
     """
 
     def __init__(
@@ -130,6 +133,8 @@
         self._long_term_service_ms = 0.0
         self._n_long_term_samples = 0
         self.leaving = False
+        self._abandoned: dict[PendingCall, Milliseconds] = {}
+        self.controls_contention: Callable[[], bool] = bool
         self.changed: Callable[[], None] = _nothing
 
     def adopt(self, cfg: MeshSettings) -> None:
@@ -392,13 +397,31 @@
     def cancel(self, pending: PendingCall) -> None:
         """Drop a call that its sender has abandoned.
 
-        A running call that is not idempotent is left to finish.
+        A running call that is not idempotent is left to finish, and so is one that ends
+        soon, as its abort would cost a connection.
         """
         if pending.waiting is not None and self._queue.drop(pending.waiting):
             self._record_queue_timeout(pending)
             pending.reply(NotRun(CANCELLED))
         elif pending.conn is not None and pending.call.idempotent:
-            self._abort(pending, MayHaveRun(CANCELLED))
+            if self._may_finish(pending):
+                self._event_log.counts["abandoned_calls", ""] += 1
+                self._abandoned[pending] = self._clock.now()
+            else:
+                self._abort(pending, MayHaveRun(CANCELLED))
+
+    def _may_finish(self, pending: PendingCall) -> bool:
+        """Whether a cancelled call is left to finish; see `abort_rule`."""
+        if pending not in self._at_server or not self.controls_contention():
+            return False
+        makes_calls = (
+            pending.calls > 0
+            or pending.open_calls > 0
+            or self.retry_budget.makes_calls(pending.call.route)
+        )
+        elapsed = self._clock.now() - pending.started
+        is_awaited = self._queue.waiting > 0
+        return may_finish(self._queue.service_ms, elapsed, makes_calls, is_awaited)
 
     def _abort(self, pending: PendingCall, outcome: MayHaveRun) -> None:
         """Abort a running call by closing its connection, so the server drops it."""
@@ -436,6 +459,7 @@
         self._conns.release(pending)
         self._queue.running -= 1
         del self._at_server[pending]
+        self._abandoned.pop(pending, None)
         if self._by_id.get(pending.call.request_id) is pending:
             del self._by_id[pending.call.request_id]
         self._record_outcome(pending, outcome)
@@ -467,6 +491,9 @@
         for waiting in self._queue.expired(now):
             self._record_queue_timeout(waiting.job)
             waiting.job.reply(NotRun(EXPIRED))
+        for pending, since in list(self._abandoned.items()):
+            if now - since >= MAX_ABANDONED_MS or pending.open_calls:
+                self._abort(pending, MayHaveRun(CANCELLED))
         late = [p for p in self._at_server if now >= p.deadline + _ANSWER_GRACE_MS]
         for pending in late:
             if pending.conn is not None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -161,6 +161,7 @@
         self.backend_queue = BackendQueue(cfg, clock, event_log, rng, self._poller)
         self._peers = Peers()
         self._contention_scope = ContentionScope(self._peers, clock)
+        self.backend_queue.controls_contention = self._contention_scope.applies
         self._route_loads = RouteLoads(self._peers, clock)
         downstream_fullness = self._route_loads.downstream_fullness
         self._local_peer = LocalPeer(
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/queue_retry_budget.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/queue_retry_budget.py
@@ -79,6 +79,10 @@
         self._event_log.counts["repeats", labels] += 1
         return is_allowed
 
+    def makes_calls(self, route: str) -> bool:
+        """Whether requests of a route make nested calls; True if not known."""
+        return self._mean_calls.get(route, 1.0) > 0.0
+
     def record_answered(self, route: str, calls: int) -> None:
         """Record how many nested calls an answered request of a route made."""
         mean = self._mean_calls.setdefault(route, calls)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_backend_queue.py
@@ -1,5 +1,7 @@
 """Backend queue: slots, connections, incarnations, and calls that end together."""
 
+from functools import partial
+
 import trio
 from testtools import TestCase
 
@@ -62,6 +64,59 @@
         self.assertEqual([MayHaveRun(EXPIRED)], outcomes["three"])
         self.assertEqual(0, counts["events", "fault"])
 
+    def test_short_call_that_is_cancelled_keeps_its_connection(self):
+        # Aborting it would cost a new connection for the next call; a call with much
+        # work left, or whose slot others await, is aborted.
+        def connections(work, n_waiting, in_scope=True):
+            return run_in_memory(partial(main, work, n_waiting, in_scope))
+
+        async def main(work, n_waiting, in_scope):
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs", slots=1)
+                host.server.behave = lambda _: Behaviour(work=work)
+                await deployment.settle()
+                backend_queue = host.node.backend_queue
+                backend_queue.controls_contention = lambda: in_scope
+                for n in range(3):
+                    backend_queue.submit(a_pending_call(host, f"before-{n}", _no_reply))
+                    await trio.sleep(0.2)
+                first = a_pending_call(host, "cancelled", _no_reply)
+                backend_queue.submit(first)
+                for n in range(n_waiting):
+                    backend_queue.submit(a_pending_call(host, f"wait-{n}", _no_reply))
+                await trio.sleep(0.002)
+                backend_queue.cancel(first)
+                await trio.sleep(0.3)
+                backend_queue.submit(a_pending_call(host, "after", _no_reply))
+                await trio.sleep(0.2)
+                return host.server.connections, backend_queue.running
+
+        self.assertEqual((1, 0), connections(20.0, 0))
+        self.assertEqual((2, 0), connections(20.0, 1))
+        self.assertEqual((2, 0), connections(150.0, 0))
+        self.assertEqual((2, 0), connections(20.0, 0, in_scope=False))
+
+    def test_cancelled_call_that_does_not_end_is_aborted(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                host.server.behave = lambda _: Behaviour(work=20.0)
+                await deployment.settle()
+                backend_queue = host.node.backend_queue
+                backend_queue.controls_contention = lambda: True
+                backend_queue.submit(a_pending_call(host, "before", _no_reply))
+                await trio.sleep(0.1)
+                host.server.behave = lambda _: Behaviour(ResponseMode.MUTE)
+                pending = a_pending_call(host, "mute", _no_reply, wait=5_000.0)
+                backend_queue.submit(pending)
+                await trio.sleep(0.01)
+                backend_queue.cancel(pending)
+                at_once = backend_queue.running
+                await trio.sleep(0.4)
+                return at_once, backend_queue.running
+
+        self.assertEqual((1, 0), run_in_memory(main))
+
     def test_nested_calls_that_expire_in_the_queue_raise_the_offered_load(self):
         async def main():
             async with a_deployment(a_route("read")) as deployment:
