Limit retries by windows, and compute which call trees they cover

Where servers refuse 55 of 100 requests at random, a budget that is spread over all call trees completes few of them, and the entry nodes admit the others in vain.

A backend queue now computes, for each rank, the lowest sampling keys whose calls it can retry until they succeed, and spends its budget on these. A retry is allowed only if it fits all later windows that contain it. Servers that state their speed add no failure load, and refusals despite free slots take no capacity.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -14,7 +14,7 @@
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.fingerprint import FINGERPRINT_BYTES
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
-from fuchsiagap.core.retries.backend_budget import N_SAMPLING_KEYS
+from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
 from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -7,7 +7,7 @@
 
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
-from fuchsiagap.core.retries.backend_budget import N_SAMPLING_KEYS
+from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
 from fuchsiagap.core.watching.watcher_rank import UpdateSource
 
 if TYPE_CHECKING:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from fuchsiagap.core.placement.choice import choose, remote_penalty
-from fuchsiagap.core.retries.backend_budget import N_SAMPLING_KEYS
+from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
 from fuchsiagap.core.shedding.served import ServedShares
 
 if TYPE_CHECKING:
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/health.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/health.py
@@ -22,6 +22,35 @@
 _ALIVE_AFTER_ANSWER_MS = 1_500.0
 
 
+class _DecayingShare:
+    """Share of recent requests with an outcome, which decays without requests.
+
+    Parameters
+    ----------
+    now : float
+        Time in milliseconds.
+    """
+
+    def __init__(self, now: Milliseconds) -> None:
+        self._share = 0.0
+        self._at = now
+
+    def record(self, matches: bool, now: Milliseconds) -> None:
+        """Add a request, and whether it had the outcome."""
+        known = self.at(now)
+        self._share = known + (float(matches) - known) * _FAILURE_WEIGHT
+
+    def reset(self) -> None:
+        """Forget all requests."""
+        self._share = 0.0
+
+    def at(self, now: Milliseconds) -> float:
+        """Return the share at a time in milliseconds."""
+        self._share *= math.exp((self._at - now) / _FAILURE_DECAY_MS)
+        self._at = now
+        return self._share
+
+
 class ServerHealth:
     """Tracks the failure rate and the liveness of one backend server.
 
@@ -32,8 +61,8 @@
     """
 
     def __init__(self, now: Milliseconds) -> None:
-        self._failing = 0.0
-        self._failing_at = now
+        self._failing = _DecayingShare(now)
+        self._refusing = _DecayingShare(now)
         self._unreachable_until = 0.0
         self._heartbeat_at = now
         self._answered_at = float("-inf")
@@ -53,18 +82,24 @@
 
     def record_outcome(self, failed: bool, now: Milliseconds) -> None:
         """Add the outcome of a request to the failure rate."""
-        known = self.failing(now)
-        self._failing = known + (float(failed) - known) * _FAILURE_WEIGHT
+        self._failing.record(failed, now)
+
+    def record_response(self, refused_with_free_slot: bool, now: Milliseconds) -> None:
+        """Record whether a response refused a request although it stated free slots."""
+        self._refusing.record(refused_with_free_slot, now)
 
     def forget_failures(self) -> None:
-        """Reset the failure rate, as for a new incarnation."""
-        self._failing = 0.0
+        """Reset the failure rates, as for a new incarnation."""
+        self._failing.reset()
+        self._refusing.reset()
 
     def failing(self, now: Milliseconds) -> float:
         """Return the share of recent requests that were refused or failed."""
-        self._failing *= math.exp((self._failing_at - now) / _FAILURE_DECAY_MS)
-        self._failing_at = now
-        return self._failing
+        return self._failing.at(now)
+
+    def refusing(self, now: Milliseconds) -> float:
+        """Return the share of recent responses that refused despite free slots."""
+        return self._refusing.at(now)
 
     def heartbeat_age(self, now: Milliseconds) -> Milliseconds:
         """Return the milliseconds since the last heartbeat, or since creation."""
--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -242,10 +242,19 @@
     for target in targets:
         if target.usable:
             load += target.offered
-            slots += target.limit * max(1.0 - target.failing, _MIN_HEALTHY_SHARE)
+            slots += target.limit * max(1.0 - _lost(target), _MIN_HEALTHY_SHARE)
     return load / slots if slots else 0.0
 
 
+def _lost(target: Target) -> float:
+    """Return the share of a server's capacity that is lost to failures.
+
+    A refusal despite free slots takes no capacity. Only servers that state their speed
+    report such refusals.
+    """
+    return max(target.failing - target.refusing, 0.0)
+
+
 def service_failure_load(targets: Sequence[Target]) -> float:
     """Return the fullness that the failures of a service add for its callers.
 
@@ -253,7 +262,8 @@
     weighted by their offered load, which is how likely a call reaches them. If they
     were weighted by slots, a failed server without requests beside a healthy one would
     make entry nodes admit only 7 of 100 requests while the healthy one has capacity
-    left.
+    left. Failures of a server that states its speed do not count: its backend queue
+    reports which call trees its retry budget covers, and entry nodes admit only these.
 
     Parameters
     ----------
@@ -270,6 +280,6 @@
     for target in targets:
         if target.usable:
             weight = target.offered + _IDLE_WEIGHT * target.limit
-            failing += target.failing * weight
+            failing += 0.0 if target.speed else target.failing * weight
             weights += weight
     return FAILURE_FULLNESS * failing / weights if weights else 0.0
--- a/packages/fuchsiagap/src/fuchsiagap/core/retries/backend_budget.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/retries/backend_budget.py
@@ -19,8 +19,16 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.retries.rank_coverage import (
+    LOW_FAILURE_RATE,
+    N_SAMPLING_KEYS,
+    RankCoverage,
+)
+from fuchsiagap.core.retries.window_counts import WindowCounts
+
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterator
 
     from fuchsiagap.core.clock import Clock, Milliseconds
 
@@ -38,10 +46,19 @@
 # Part of the completable call trees that is reserved for less important ranks, so that
 # none is shut out.
 _LEFT_TO_LESS_IMPORTANT = 0.1
-# Failure rate below which retries are allowed to any call tree.
-_LOW_FAILURE_RATE = 0.02
-# Sampling keys are integers from 0 up to, but not including, this number.
-N_SAMPLING_KEYS = 256
+# Share of the ratio that backend queues use where call trees are covered. There, a
+# retry is allowed only if it also fits all later windows that contain it. The rest is a
+# margin for queues that start while others count requests that would have been theirs.
+_COVERED_RATIO_USED = 0.95
+# Keys by which a retry may exceed the coverage, relative and absolute. A call tree is
+# admitted by an earlier coverage and by a mean over the backend queues.
+_KEY_TOLERANCE = 1.5
+_KEY_TOLERANCE_KEYS = 16
+# Milliseconds for which the number of retries that fit all windows is reused. It can
+# only grow with the requests that arrive meanwhile.
+_ROOM_CACHE_MS = 50.0
+# Weight of one retry in the moving average of the calls that a retried request makes.
+_CALLS_EWMA_WEIGHT = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,14 +168,32 @@
         self._started_at = clock.now()
         self._rounding = rng.random()
         self._rounded_at = self._started_at
+        self._windows = WindowCounts(cfg.window, self._started_at)
+        self._coverage = RankCoverage(self._started_at)
+        self._room = 0.0
+        self._room_at = float("-inf")
+        self._mean_calls = 0.0
 
     def adopt(self, cfg: ServiceRetryLimits) -> None:
         """Apply changed limits; the counts are kept."""
+        if cfg.window != self._cfg.window:
+            self._windows = WindowCounts(cfg.window, self._clock.now())
+            self._room_at = float("-inf")
         self._cfg = cfg
 
-    def record_first_attempt(self, rank: int = 0) -> None:
-        """Count a first attempt of a request in a call tree of a rank."""
+    def record_first_attempt(self, rank: int = 0, sampling_key: int = 0) -> None:
+        """Count a first attempt of a request in a call tree.
+
+        Parameters
+        ----------
+        rank : int, default=0
+            Priority rank of its call tree.
+        sampling_key : int, default=0
+            Sampling key of its call tree.
+        """
         bucket = self._bucket()
+        self._windows.record_request(self._clock.now())
+        self._coverage.record_arrival(rank, sampling_key)
         bucket.requests += 1
         bucket.ranks[rank] += 1
         self._requests += 1
@@ -170,11 +205,20 @@
         It is never rejected, since its call tree is in progress already. As long as the
         upstream retries stay within their ratio, so do these.
         """
-        self._bucket().retries += 1
+        self._count_retry(self._bucket(), is_inherited=True)
+
+    def _count_retry(self, bucket: _Bucket, is_inherited: bool = False) -> None:
+        bucket.retries += 1
         self._retries += 1
+        self._windows.record_retry(self._clock.now(), is_inherited)
+        self._room -= 1.0
 
     def try_spend(
-        self, retry: RetryRequest, n_backends: int, failing: float = 0.0
+        self,
+        retry: RetryRequest,
+        n_backends: int,
+        failing: float = 0.0,
+        covers_trees: bool = False,
     ) -> bool:
         """Spend budget on a retry, if there is any for its call tree.
 
@@ -186,6 +230,8 @@
             Number of backend queues that share the slack.
         failing : float, default=0.0
             Failure rate of the server, from 0 to 1.
+        covers_trees : bool, default=False
+            Whether entry nodes admit call trees by `covered_keys`.
 
         Returns
         -------
@@ -194,6 +240,8 @@
             reserved for other call trees.
         """
         bucket = self._bucket()
+        if covers_trees:
+            return self._try_spend_covered(bucket, retry, n_backends, failing)
         limit = self._limit(retry.calls, n_backends)
         best = min(self._ranks, default=retry.rank)
         if self._retries + 1 > limit * retry.part(best) + self._rounding:
@@ -202,19 +250,88 @@
             retry, limit, failing
         ):
             return False
-        bucket.retries += 1
-        self._retries += 1
+        self._count_retry(bucket)
         return True
 
+    def _try_spend_covered(
+        self, bucket: _Bucket, retry: RetryRequest, n_backends: int, failing: float
+    ) -> bool:
+        """Spend budget on a retry of a call tree that is covered."""
+        self._mean_calls += (retry.calls - self._mean_calls) * _CALLS_EWMA_WEIGHT
+        covered = self.covered_keys(retry.rank, n_backends, failing)
+        if retry.sampling_key >= covered * _KEY_TOLERANCE + _KEY_TOLERANCE_KEYS:
+            return False
+        slack = self._slack(retry.calls, n_backends)
+        if self._room_in_windows() + slack + self._rounding < 1.0:
+            return False
+        self._count_retry(bucket)
+        return True
+
+    def covered_keys(self, rank: int, n_backends: int, failing: float) -> int:
+        """Return how many of the lowest sampling keys of a rank are covered.
+
+        Calls with these keys can be retried until they succeed.
+
+        Parameters
+        ----------
+        rank : int
+            Priority rank.
+        n_backends : int
+            Number of backend queues that share the slack.
+        failing : float
+            Failure rate of the server, from 0 to 1.
+        """
+        now = self._clock.now()
+        if self._coverage.is_due(now):
+            self._bucket()
+            retries = self._planned_retries(self._slack(self._mean_calls, n_backends))
+            self._coverage.update(now, failing, retries)
+        return self._coverage.covered_keys(rank)
+
+    def coverage(self) -> Iterator[tuple[int, float]]:
+        """Yield each rank with its covered share, as last computed."""
+        for rank, keys in self._coverage.all():
+            yield rank, keys / N_SAMPLING_KEYS
+
+    def _room_in_windows(self) -> float:
+        """Return how many retries fit all windows that contain the present."""
+        now = self._clock.now()
+        if now - self._room_at >= _ROOM_CACHE_MS:
+            self._room_at = now
+            ratio = self._cfg.ratio * _COVERED_RATIO_USED
+            self._room = min(
+                ratio * count.requests - count.retries
+                for count in self._windows.windows(now)
+            )
+        return self._room
+
+    def _planned_retries(self, slack: float) -> float:
+        """Return the retries per millisecond that keep to the limit for a window.
+
+        An even spending of the limit over a window, less the inherited retries; less
+        than that if a window that ends later has fewer requests, or has had many
+        retries. As refusals at the entry nodes reduce the requests, the rate falls
+        gradually, and not at once when the limit is reached.
+        """
+        now = self._clock.now()
+        ratio = self._cfg.ratio * _COVERED_RATIO_USED
+        current, *later = self._windows.windows(now)
+        limit = ratio * current.requests + slack
+        planned = (limit - self._windows.inherited(now)) / self._cfg.window
+        for count in later:
+            room = ratio * count.requests + slack - count.retries
+            planned = min(planned, room / count.ends_in)
+        return max(planned, 0.0)
+
     def _can_complete_tree(
         self, retry: RetryRequest, limit: float, failing: float
     ) -> bool:
         """Whether the budget suffices to complete the call tree of a retry."""
         n_requests = sum(self._ranks.values())
-        if failing < _LOW_FAILURE_RATE or not n_requests:
+        if failing < LOW_FAILURE_RATE or not n_requests:
             return True
         # Mean number of retries until a call is answered.
-        retries_per_call = failing / max(1.0 - failing, _LOW_FAILURE_RATE)
+        retries_per_call = failing / max(1.0 - failing, LOW_FAILURE_RATE)
         n_trees = limit / retries_per_call
         more_important = sum(n for rank, n in self._ranks.items() if rank < retry.rank)
         less_important = n_requests - more_important - self._ranks[retry.rank]
@@ -233,12 +350,15 @@
         retry repeats these too and would use up the slack of the services downstream
         where requests are few.
         """
+        earned = self._requests * self._cfg.ratio * _RATIO_USED
+        return earned + self._slack(calls, n_backends)
+
+    def _slack(self, calls: float, n_backends: int) -> float:
+        """Return this queue's part of the slack."""
         cfg = self._cfg
         age = self._clock.now() - self._started_at
         slack = cfg.slack * _SLACK_USED / max(n_backends, 1) / (1.0 + calls)
-        return self._requests * cfg.ratio * _RATIO_USED + slack * min(
-            age / cfg.window, 1.0
-        )
+        return slack * min(age / cfg.window, 1.0)
 
     def _bucket(self) -> _Bucket:
         now = self._clock.now()
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/retries/test_backend_budget.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/retries/test_backend_budget.py
@@ -9,6 +9,7 @@
 """
 
 import bisect
+import itertools
 import random
 
 from testtools import TestCase
@@ -22,6 +23,7 @@
 )
 
 CFG = ServiceRetryLimits(0.2, 48.0, 10_000.0)
+SMALL_SLACK = ServiceRetryLimits(0.2, 20.0, 10_000.0)
 SINGLE_CALL = RetryRequest(rank=0, sampling_key=0, is_nested=False, calls=0.0)
 
 
@@ -33,8 +35,9 @@
 class SimulatedBackends:
     """Retry budgets of one service, with a record of arrivals to check the limit."""
 
-    def __init__(self, n_backends, cfg=CFG, seed=1):
+    def __init__(self, n_backends, cfg=CFG, seed=1, covers_trees=False):
         self.cfg = cfg
+        self.covers_trees = covers_trees
         self.rng = random.Random(seed)
         self.at = 0.0
         self.clock = Clock(now=lambda: self.at, wall=lambda: 0.0)
@@ -51,28 +54,38 @@
         """Restart a backend queue, which loses its counts."""
         self.budgets[backend] = self.new()
 
-    def request(self, fails, retry, n_known=None, failing=0.02):
-        """Send a request to a random backend, and retry it at another if it fails."""
+    def request(self, fails, retry, n_known=None, failing=0.02, used=None):
+        """Send a request to a random backend, and retry it at another if it fails.
+
+        Only the backends `used`, if given, get first attempts.
+        """
         budgets = self.budgets
-        self.rng.choice(budgets).record_first_attempt()
+        self.rng.choice(used or budgets).record_first_attempt()
         self.requests.append(self.at)
         if fails:
             self.asked += 1
             n_backends = n_known or len(budgets)
-            if self.rng.choice(budgets).try_spend(retry, n_backends, failing):
+            if self.rng.choice(budgets).try_spend(
+                retry, n_backends, failing, self.covers_trees
+            ):
                 self.retries.append(self.at)
 
     def excess(self):
         """Return the maximum excess of the retries in a window over the limit."""
-        cfg, worst = self.cfg, float("-inf")
-        for start in self.retries:
-            n_retries = between(self.retries, start, start + cfg.window)
-            n_requests = max(
-                between(self.requests, start - back, start - back + cfg.window)
-                for back in (0.0, cfg.window / 2.0, cfg.window)
-            )
-            worst = max(worst, n_retries - cfg.ratio * n_requests - cfg.slack)
-        return worst
+        return max_excess(self.requests, self.retries, self.cfg)
+
+
+def max_excess(requests, retries, cfg):
+    """Return the maximum excess of the retries in a window over the limit."""
+    worst = float("-inf")
+    for start in retries:
+        n_retries = between(retries, start, start + cfg.window)
+        n_requests = max(
+            between(requests, start - back, start - back + cfg.window)
+            for back in (0.0, cfg.window / 2.0, cfg.window)
+        )
+        worst = max(worst, n_retries - cfg.ratio * n_requests - cfg.slack)
+    return worst
 
 
 def between(times, start, end):
@@ -81,11 +94,11 @@
 
 
 class TestBound(TestCase):
-    def simulate(self, n_backends, seed):
+    def simulate(self, n_backends, seed, covers_trees=False, n_keys=N_SAMPLING_KEYS):
         """Simulate failing requests, restarts, and incomplete lists of backends."""
         slack = float(random.Random(seed).choice((20, 48, 213)))
         backends = SimulatedBackends(
-            n_backends, ServiceRetryLimits(0.2, slack, 10_000.0), seed
+            n_backends, ServiceRetryLimits(0.2, slack, 10_000.0), seed, covers_trees
         )
         rng = backends.rng
         per_step = rng.randint(1, 60)
@@ -96,7 +109,7 @@
                 known = max(round(n_backends * rng.uniform(0.75, 1.0)), 1)
                 retry = RetryRequest(
                     rng.randrange(3),
-                    rng.randrange(N_SAMPLING_KEYS),
+                    rng.randrange(n_keys),
                     rng.random() < 0.5,
                     rng.choice((0.0, 4.0, 12.0)),
                 )
@@ -111,6 +124,61 @@
             backends = self.simulate(n_backends, seed)
             self.assertLessEqual(backends.excess(), 0.0, f"{n_backends} backends")
 
+    def test_limit_holds_where_call_trees_are_covered(self):
+        # All retries have covered keys, so that only the limit restricts them.
+        for seed, n_backends in enumerate((2, 4, 13, 29, 60, 200, 800, 3_200)):
+            backends = self.simulate(n_backends, seed + 50, True, n_keys=1)
+            self.assertLessEqual(backends.excess(), 0.0, f"{n_backends} backends")
+            self.assertGreater(len(backends.retries), 0)
+
+    def test_limit_holds_after_traffic_collapses(self):
+        # Retries that were allowed by requests at the beginning of a window would
+        # exceed the limit of the next one.
+        for n_backends in (1, 4, 13):
+            backends = SimulatedBackends(
+                n_backends, ServiceRetryLimits(0.2, 0.0, 10_000.0), 1, True
+            )
+            for step in range(800):
+                backends.at += 50.0
+                is_busy = step % 400 < 250
+                for _ in range(20 if is_busy else 1):
+                    backends.request(step % 400 > 150, SINGLE_CALL, failing=0.5)
+            self.assertLessEqual(backends.excess(), 0.0, f"{n_backends} backends")
+
+    def test_limit_holds_while_traffic_moves_between_backends(self):
+        # If each queue counted the best of its own windows, two halves of the backends
+        # that get the requests in turn would allow twice the limit.
+        for n_backends in (2, 4, 13):
+            backends = SimulatedBackends(n_backends, SMALL_SLACK, 3, True)
+            for step in range(1_200):
+                backends.at += 50.0
+                budgets = backends.budgets[step // 200 % 2 :: 2]
+                for _ in range(20):
+                    backends.request(
+                        backends.rng.random() < 0.5, SINGLE_CALL, None, 0.5, budgets
+                    )
+            self.assertLessEqual(backends.excess(), 0.0, f"{n_backends} backends")
+
+    def test_limit_holds_while_backends_restart_in_turn(self):
+        # The others count requests that would have been those of the one that is down,
+        # and it counts its own ones again as soon as it is back.
+        for n_backends, seconds in itertools.product((2, 4, 13), (5, 20)):
+            backends = SimulatedBackends(n_backends, SMALL_SLACK, 3, True)
+            for step in range(1_200):
+                backends.at += 50.0
+                turn, rest = divmod(step, seconds * 20)
+                index = turn % n_backends
+                if rest == 60:
+                    backends.restart(index)
+                budgets = list(backends.budgets)
+                if rest < 60:
+                    del budgets[index]
+                for _ in range(20):
+                    backends.request(
+                        backends.rng.random() < 0.5, SINGLE_CALL, None, 0.5, budgets
+                    )
+            self.assertLessEqual(backends.excess(), 0.0, f"{n_backends}, {seconds} s")
+
     def test_limit_holds_when_all_backends_restart_at_once(self):
         backends = SimulatedBackends(13)
         for step in range(600):
