--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -8,10 +8,11 @@
 from fuchsiagap.core.shedding.controller import SheddingController
 from fuchsiagap.core.shedding.fair_admission import FairAdmission
 from fuchsiagap.core.shedding.order import SheddingOrder
+from fuchsiagap_node.core.mesh.rate_limits import RateLimits
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap.core.routes.model import Route
@@ -49,6 +50,14 @@
         Staggers the first refusals across nodes, and the retry-after times.
     event_log : EventLog
         Event log.
+    states_speed : callable, optional
+        Returns whether backend servers state their present speed, so that requests are
+        admitted by rate. By default they are not.
+
+    Attributes
+    ----------
+    limits : RateLimits
+        Admission by rate.
     """
 
     def __init__(
@@ -58,6 +67,7 @@
         clock: Clock,
         rng: random.Random,
         event_log: EventLog,
+        states_speed: Callable[[], bool] = lambda: False,
     ) -> None:
         self._route_loads = route_loads
         self._served = served
@@ -71,6 +81,8 @@
         self._shares: dict[tuple[str, str], float] = {}
         # Route names by kind of request.
         self._routes: dict[str, str] = {}
+        self._states_speed = states_speed
+        self.limits = RateLimits(route_loads, event_log)
 
     def step(self) -> None:
         """Update each shedding controller from the fullness of its service."""
@@ -82,13 +94,22 @@
         kinds = self._order.loads(now)
         guaranteed = guaranteed_share(self._served.overall_share(now))
         max_cut_of_lowest = max_cut(0, kinds, guaranteed)
+        controllers = self._controllers
+        by_rate = self.limits.step(
+            self._states_speed(), elapsed, self._order, controllers, self._routes
+        )
         for (service, kind), controller in self._controllers.items():
             was_admitting_all = controller.cut == 0.0
             fullness = self._route_loads.fullness(service, self._routes[kind])
             step = steps.get(kind)
             max_cut_of_kind = max_cut(step or 0, kinds, guaranteed)
+            corrected, leak = self.limits.correction((service, kind), fullness)
             controller.step(
-                fullness, min(elapsed, 5 * STEP_MS), max_cut_of_lowest, max_cut_of_kind
+                corrected,
+                min(elapsed, 5 * STEP_MS),
+                max_cut_of_lowest,
+                max_cut_of_kind,
+                leak,
             )
             if step is None:
                 # Requested too rarely to be ranked among the kinds; all are admitted,
@@ -96,6 +117,8 @@
                 self._shares[service, kind] = 1.0
             else:
                 load_share = controller.load_share(is_worst=step == 0)
+                if by_rate:
+                    load_share = self.limits.load_share((service, kind), load_share)
                 self._shares[service, kind] = share_of_step(
                     step, load_share, kinds, guaranteed
                 )
@@ -155,7 +178,9 @@
         credit : CallerCredit
             Admissions that its caller is owed, for fairness among callers.
         """
-        return self._fair_admission.admits(route.kind, share, credit)
+        admitted = self._fair_admission.admits(route.kind, share, credit)
+        self.limits.record(route.kind, admitted)
+        return admitted
 
     def retry_after(self, route: Route) -> Milliseconds:
         """Return the milliseconds after which a refused caller may retry."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -170,7 +170,12 @@
             cfg, self._peers, self._route_loads, clock, rng, event_log, self.reports
         )
         self._admission = Admission(
-            self._route_loads, self._placement_context.served, clock, rng, event_log
+            self._route_loads,
+            self._placement_context.served,
+            clock,
+            rng,
+            event_log,
+            self._peers.state_speed,
         )
         self._rotation = WeightedRoundRobin()
         own = Member(
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
@@ -0,0 +1,193 @@
+"""Admission by rate of one entry node: its estimate of room and its token buckets."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap.core.shedding.controller import CUT_LEAK
+from fuchsiagap.core.shedding.rate_admission import START_SHARE, RateAdmission
+from fuchsiagap.core.shedding.room import Room
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+    from fuchsiagap.core.clock import Milliseconds
+    from fuchsiagap.core.shedding.controller import SheddingController
+    from fuchsiagap.core.shedding.order import SheddingOrder
+    from fuchsiagap.core.shedding.room import Target
+    from fuchsiagap_node.core.mesh.event_log import EventLog
+    from fuchsiagap_node.core.mesh.route_loads import RouteLoads
+
+# Share of the load to which a controller's cut is limited when the estimate ends.
+_MIN_SHARE = 0.05
+# Fullness by which a controller corrects the admitted rate at most. A higher one is
+# mostly the backlog of an excess that is over when it is known here.
+MAX_CORRECTED = 1.6
+# Excess per unit of cut at which a controller settles that corrects the rate. With the
+# usual leak, the cut persists for 2 s after an excess that the estimated room already
+# accounts for, and a sixth of the capacity stays unused.
+CORRECTION_LEAK = 1.0
+
+
+class RateLimits:
+    """Limits the load that an entry node admits to its estimated room.
+
+    Parameters
+    ----------
+    route_loads : RouteLoads
+        Fullness of the services that a route's requests reach.
+    event_log : EventLog
+        Event log.
+
+    Attributes
+    ----------
+    room : Room
+        Estimated room.
+    """
+
+    def __init__(self, route_loads: RouteLoads, event_log: EventLog) -> None:
+        self._route_loads = route_loads
+        self._event_log = event_log
+        self._buckets: dict[Target, RateAdmission] = {}
+        self._limited: set[Target] = set()
+        self._admitted = 0.0
+        self._elapsed = 0.0
+        self.room = Room()
+
+    def record(self, kind: str, admitted: bool) -> None:
+        """Count a request and whether it was admitted."""
+        self.room.record(kind, admitted)
+
+    def step(
+        self,
+        in_scope: bool,
+        elapsed: Milliseconds,
+        order: SheddingOrder,
+        controllers: Mapping[Target, SheddingController],
+        routes: Mapping[str, str],
+    ) -> bool:
+        """Update the estimate.
+
+        The cut of a controller refers to the room while there is an estimate, and to
+        the demand otherwise, so that it is converted when the estimate begins or ends.
+
+        Parameters
+        ----------
+        in_scope : bool
+            Whether requests may be admitted by rate.
+        elapsed : float
+            Milliseconds since the last step.
+        order : SheddingOrder
+            Kinds of requests with the load of a request of each.
+        controllers : mapping of (str, str) to SheddingController
+            Controllers of all services and kinds.
+        routes : mapping of str to str
+            Route names by kind.
+
+        Returns
+        -------
+        bool
+            Whether `load_share` is to be used until the next step.
+        """
+        if elapsed <= 0.0:
+            return in_scope
+        self._admitted = self.room.step(elapsed, order.load_by_kind())
+        self._elapsed = elapsed
+        for target, controller in controllers.items():
+            service, kind = target
+            fullness = self._route_loads.fullness(service, routes[kind])
+            age = self._route_loads.reply_age(service, routes[kind])
+            self.room.observe(target, fullness, age, elapsed)
+            self._convert_cut(target, controller, in_scope)
+        if not in_scope:
+            self._buckets.clear()
+            for target in list(self._limited):
+                self._report(target, 1.0)
+        return in_scope
+
+    def _convert_cut(
+        self, target: Target, controller: SheddingController, in_scope: bool
+    ) -> None:
+        """Convert a controller's cut when an estimate begins or ends."""
+        has_estimate = in_scope and math.isfinite(self.room.room(target))
+        if has_estimate == (target in self._buckets):
+            return
+        if has_estimate:
+            self._buckets[target] = RateAdmission()
+            controller.cut = 0.0
+        else:
+            share = self._buckets.pop(target).share
+            controller.cut = -math.log(max(share, _MIN_SHARE))
+
+    def correction(self, target: Target, fullness: float) -> tuple[float, float]:
+        """Return the fullness and the leak with which a controller corrects the rate.
+
+        Without an estimate these are the fullness itself and the usual leak.
+        """
+        if target not in self._buckets:
+            return fullness, CUT_LEAK
+        return min(fullness, MAX_CORRECTED), CORRECTION_LEAK
+
+    def load_share(self, target: Target, controller_share: float) -> float:
+        """Return the share of the load that may be admitted.
+
+        Parameters
+        ----------
+        target : tuple of (str, str)
+            Service and kind of the requests.
+        controller_share : float
+            Share by the shedding controller.
+
+        Returns
+        -------
+        float
+            Share from 0 to 1.
+        """
+        bucket = self._buckets.get(target)
+        if bucket is not None:
+            share = bucket.load_share(
+                self.room.room(target),
+                self.room.demand(),
+                self.room.mean_demand(),
+                self._admitted,
+                self.room.largest_load(),
+                controller_share,
+                self._elapsed,
+            )
+        elif self.room.is_new(target):
+            share = START_SHARE * controller_share
+        else:
+            share = controller_share
+        self._report(target, share)
+        return share
+
+    def gauges(self) -> Iterator[tuple[str, str, float]]:
+        """Yield service, kind and estimated room in calls per second, if there is one.
+
+        The room is as in `Room.room`.
+        """
+        for service, kind in sorted(self._buckets):
+            room = self.room.room((service, kind))
+            if math.isfinite(room):
+                yield service, kind, room * MS_PER_S
+
+    def _report(self, target: Target, share: float) -> None:
+        """Write an event when admission by rate begins or ends to limit a kind."""
+        is_limited = share < 1.0
+        if is_limited == (target in self._limited):
+            return
+        (self._limited.add if is_limited else self._limited.discard)(target)
+        service, kind = target
+        room, age = self.room.room(target), self.room.age(target)
+        self._event_log.event(
+            "rate-admission-changed",
+            service=service,
+            route=kind,
+            refusing=is_limited,
+            room=round(room * MS_PER_S) if math.isfinite(room) else None,
+            demand=round(self.room.demand() * MS_PER_S),
+            fullness=round(self.room.fullness(target), 2),
+            age=round(age) if math.isfinite(age) else None,
+        )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_loads.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_loads.py
@@ -126,6 +126,11 @@
         known = self._summaries.get((service, route))
         return 0.0 if known is None else known.calls
 
+    def reply_age(self, service: str, route: str) -> Milliseconds:
+        """Return the milliseconds since the last reply; infinity before the first."""
+        known = self._summaries.get((service, route))
+        return math.inf if known is None else self._clock.now() - known.at
+
     def fullness(self, service: str, route: str) -> float:
         """Return the highest fullness among a service and those that it calls."""
         own = service_fullness(self._peers.targets(service))
--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/controller.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/controller.py
@@ -69,6 +69,7 @@
         elapsed: Milliseconds,
         least_important_cut: float,
         max_cut: float,
+        leak: float = CUT_LEAK,
     ) -> None:
         """Adjust the cut to the load on the service and on those downstream of it.
 
@@ -84,9 +85,11 @@
         max_cut : float
             Cut beyond which nothing more would be shed. A deeper one would only delay
             recovery after a surge.
+        leak : float, default=CUT_LEAK
+            Excess that is tolerated per unit of cut.
         """
         excess = math.log(max(fullness, MIN_FULLNESS) / TARGET_FULLNESS)
-        excess -= CUT_LEAK * self.cut
+        excess -= leak * self.cut
         is_deep = excess > 0.0 and self.cut >= least_important_cut
         reaction = DEEP_REACTION_MS if is_deep else REACTION_MS
         self.cut = max(0.0, self.cut + excess * elapsed / reaction)
--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/order.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/order.py
@@ -97,6 +97,10 @@
             kind.calls = calls
             self._steps.clear()
 
+    def load_by_kind(self) -> dict[str, float]:
+        """Return the load of one request of each kind, including its calls."""
+        return {name: 1.0 + kind.calls for name, kind in self._kinds.items()}
+
     def forget(self, now: Milliseconds) -> None:
         """Drop the kinds without requests in the last `IDLE_KIND_MS`."""
         idle = [
--- /dev/null
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
@@ -0,0 +1,268 @@
+"""Estimate of the capacity that is available to the load of one entry node (room)."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from fuchsiagap.core.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from typing import TypeAlias
+
+    from fuchsiagap.core.clock import Milliseconds
+
+    # Service and kind of requests.
+    Target: TypeAlias = tuple[str, str]
+
+# Time constant (to 1/e) in milliseconds of the means of admitted load and of fullness:
+# about 70 requests at 18 each second.
+AVERAGING_MS = 4_000.0
+# Time constant in milliseconds of each of the two lags that admitted load passes before
+# it is compared with fullness: the calls of a tree reach the services downstream 0.3 to
+# 1.2 s after its admission, and their fullness is known here some 0.3 s later. With a
+# total lag of 0.7 s, the room is overestimated by 15 % while the load rises.
+LAG_MS = 500.0
+# Time constant in milliseconds of the demand.
+DEMAND_MS = 250.0
+# Milliseconds after the first reply from which an estimate is used.
+MIN_OBSERVED_MS = 250.0
+# Milliseconds without a reply after which the means are kept as they are, and after
+# which they are not used any more.
+SILENT_MS = 1_000.0
+STALE_MS = 5_000.0
+# Fullness up to which a report is taken as it is. A higher one contains the backlog of
+# an earlier excess, and counts only as far as the load admitted here explains it:
+# otherwise a queue that lasts for a second would lower the room by a third for 4 s.
+MAX_FULLNESS = 1.3
+# Fullness below which a service counts as idle, so that its room is unlimited.
+MIN_FULLNESS = 0.02
+
+
+@dataclass(slots=True)
+class _Estimate:
+    """Decaying means of the admitted load and of the fullness that resulted.
+
+    Parameters
+    ----------
+    load, fullness : float
+        Decaying sums, with weights that sum to `weight`.
+    weight : float
+        Approaches 1 once much longer than `AVERAGING_MS` has been observed.
+    observed_ms : float
+        Milliseconds observed.
+    """
+
+    load: float = 0.0
+    fullness: float = 0.0
+    weight: float = 0.0
+    observed_ms: Milliseconds = 0.0
+
+    def add(self, load: float, fullness: float, elapsed: Milliseconds) -> None:
+        """Add a load and a fullness that lasted for a time."""
+        weight = _weight(elapsed, AVERAGING_MS)
+        self.load += (load - self.load) * weight
+        self.fullness += (fullness - self.fullness) * weight
+        self.weight += (1.0 - self.weight) * weight
+        self.observed_ms += elapsed
+
+    def room(self) -> float:
+        """Return the room in calls per millisecond; infinity if unknown."""
+        if self.observed_ms < MIN_OBSERVED_MS:
+            return math.inf
+        if self.fullness < MIN_FULLNESS * self.weight:
+            return math.inf
+        return self.load / self.fullness
+
+
+@dataclass(slots=True)
+class _Kind:
+    """Requests of one kind; rates are per millisecond.
+
+    Parameters
+    ----------
+    load : float
+        Load of one request: itself and the calls of its tree.
+    new, new_admitted : int
+        Requests, and admitted requests, since the last step.
+    demand, mean_demand : float
+        Rate of requests, smoothed over `DEMAND_MS` and over `AVERAGING_MS`.
+    lag, lagged : float
+        Rate of admitted requests after the first and the second lag.
+    """
+
+    load: float = 1.0
+    new: int = 0
+    new_admitted: int = 0
+    demand: float = 0.0
+    mean_demand: float = 0.0
+    lag: float = 0.0
+    lagged: float = 0.0
+
+
+class Room:
+    """Estimates the room of an entry node for each service and kind of requests.
+
+    The room is the load that the node admitted lately divided by the fullness that
+    resulted. Its unit is calls per millisecond, requests being weighted by the calls of
+    their trees. All entry nodes see the same fullness, so their rooms add up to the
+    capacity without any messages. All kinds of an entry node count as one load, as in
+    the shedding controller; the fullness differs by kind.
+    """
+
+    def __init__(self) -> None:
+        self._kinds: dict[str, _Kind] = {}
+        self._estimates: dict[Target, _Estimate] = {}
+        self._ages: dict[Target, Milliseconds] = {}
+        self._demand_weight = 0.0
+        self._mean_weight = 0.0
+
+    def record(self, kind: str, admitted: bool) -> None:
+        """Count a request of a kind and whether it was admitted."""
+        known = self._kinds.get(kind)
+        if known is None:
+            known = self._kinds[kind] = _Kind()
+        known.new += 1
+        known.new_admitted += admitted
+
+    def step(self, elapsed: Milliseconds, loads: Mapping[str, float]) -> float:
+        """Update the rates of requests.
+
+        Parameters
+        ----------
+        elapsed : float
+            Milliseconds since the last step, above 0.
+        loads : mapping of str to float
+            Load of one request of each kind.
+
+        Returns
+        -------
+        float
+            Load that was admitted since the last step.
+        """
+        weight = _weight(elapsed, DEMAND_MS)
+        lag_weight = _weight(elapsed, LAG_MS)
+        mean_weight = _weight(elapsed, AVERAGING_MS)
+        self._demand_weight += (1.0 - self._demand_weight) * weight
+        self._mean_weight += (1.0 - self._mean_weight) * mean_weight
+        admitted = 0.0
+        for name, kind in self._kinds.items():
+            kind.load = loads.get(name, kind.load)
+            rate = kind.new / elapsed
+            kind.demand += (rate - kind.demand) * weight
+            kind.mean_demand += (rate - kind.mean_demand) * mean_weight
+            kind.lag += (kind.new_admitted / elapsed - kind.lag) * lag_weight
+            kind.lagged += (kind.lag - kind.lagged) * lag_weight
+            admitted += kind.new_admitted * kind.load
+            kind.new = kind.new_admitted = 0
+        return admitted
+
+    def observe(
+        self,
+        target: Target,
+        fullness: float,
+        reply_age: Milliseconds,
+        elapsed: Milliseconds,
+    ) -> None:
+        """Update the estimate for a service and kind.
+
+        Parameters
+        ----------
+        target : tuple of (str, str)
+            The service and the kind.
+        fullness : float
+            Fullness of the service and of those that it calls.
+        reply_age : float
+            Milliseconds since the last reply; infinity before the first one.
+        elapsed : float
+            Milliseconds since the last step.
+        """
+        if self._ages.get(target, 0.0) > STALE_MS:
+            self._estimates.pop(target, None)
+        self._ages[target] = reply_age
+        if reply_age > SILENT_MS:
+            return
+        lagged = sum(kind.lagged * kind.load for kind in self._kinds.values())
+        estimate = self._estimates.setdefault(target, _Estimate())
+        explained = max(lagged / max(estimate.room(), 1e-9), MAX_FULLNESS)
+        estimate.add(lagged, min(fullness, explained), elapsed)
+
+    def is_new(self, target: Target) -> bool:
+        """Whether there were not enough replies yet for an estimate."""
+        estimate = self._estimates.get(target)
+        return estimate is None or estimate.observed_ms < MIN_OBSERVED_MS
+
+    def age(self, target: Target) -> Milliseconds:
+        """Return the milliseconds since the last reply, as of the last step."""
+        return self._ages.get(target, math.inf)
+
+    def room(self, target: Target) -> float:
+        """Return the estimated room as a rate.
+
+        Parameters
+        ----------
+        target : tuple of (str, str)
+            Service and kind of the requests.
+
+        Returns
+        -------
+        float
+            Calls per millisecond that may be admitted here, over all kinds, to fill the
+            fullest service that the kind reaches; infinity if that service is idle, or
+            without an estimate that is up to date.
+        """
+        estimate = self._estimates.get(target)
+        if estimate is None or self.age(target) > STALE_MS:
+            return math.inf
+        return estimate.room()
+
+    def fullness(self, target: Target) -> float:
+        """Return the mean fullness of a service and kind; 0 if unknown."""
+        estimate = self._estimates.get(target)
+        return estimate.fullness / estimate.weight if estimate else 0.0
+
+    def demand(self) -> float:
+        """Return the load of all requests lately, in calls per millisecond."""
+        total = sum(kind.demand * kind.load for kind in self._kinds.values())
+        return total / self._demand_weight if self._demand_weight else 0.0
+
+    def mean_demand(self) -> float:
+        """Return the mean load of all requests, averaged as the room is."""
+        total = sum(kind.mean_demand * kind.load for kind in self._kinds.values())
+        return total / self._mean_weight if self._mean_weight else 0.0
+
+    def requests_per_s(self, kind: str, rate: float, share: float) -> float:
+        """Return the requests of a kind that may be admitted now in each second.
+
+        Parameters
+        ----------
+        kind : str
+            The kind.
+        rate : float
+            Admitted rate of all kinds in calls per millisecond, usually `room` or a
+            share of it.
+        share : float
+            Share of the kind's requests that is admitted now.
+
+        Returns
+        -------
+        float
+            The admitted requests of the kind and, unless it is shed, those that the
+            rest of the rate has room for.
+        """
+        known = self._kinds.get(kind)
+        if known is None or not self._demand_weight:
+            return math.inf
+        own = share * known.demand / self._demand_weight
+        unused = max(rate - self.demand(), 0.0) if share >= 1.0 else 0.0
+        return (own + unused / known.load) * MS_PER_S
+
+    def largest_load(self) -> float:
+        """Return the load of one request of the heaviest kind."""
+        return max((kind.load for kind in self._kinds.values()), default=1.0)
+
+
+def _weight(elapsed: Milliseconds, time_constant: Milliseconds) -> float:
+    return 1.0 - math.exp(-elapsed / time_constant)
