--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -206,7 +206,7 @@
     def refusing(self) -> float:
         """Return the share of requests that the server refused with slots free.
 
-        0 if it does not state its speed.
+        0 outside the scope of contention control.
         """
         if not self._covers_trees:
             return 0.0
@@ -215,7 +215,7 @@
     @property
     def _covers_trees(self) -> bool:
         """Whether the retry budget is spent on the call trees that it covers."""
-        return self.speed != NO_SPEED
+        return self.controls_contention()
 
     def covered_keys(self, rank: int) -> int:
         """Return how many of the lowest sampling keys of a rank are covered.
@@ -230,7 +230,7 @@
         return self.retry_budget.covered_keys(rank, self.failing())
 
     def coverage(self) -> Iterator[tuple[int, float]]:
-        """Yield each rank with its covered share; none without a stated speed."""
+        """Yield each rank with its covered share, in scope of contention control."""
         if self._covers_trees:
             yield from self.retry_budget.coverage()
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -167,7 +167,9 @@
         self.backend_queue.controls_contention = self._contention_scope.applies
         self._route_loads = RouteLoads(self._peers, clock)
         downstream_fullness = self._route_loads.downstream_fullness
-        self._coverage = RouteCoverage(self._peers, self._route_loads, clock, event_log)
+        self._coverage = RouteCoverage(
+            self._contention_scope, self._route_loads, clock, event_log
+        )
         self._local_peer = LocalPeer(
             cfg.node,
             cfg.service,
@@ -189,7 +191,12 @@
             self.reports,
         )
         self._admission = Admission(
-            self._route_loads, self._placement_context.served, clock, rng, event_log
+            self._route_loads,
+            self._placement_context.served,
+            clock,
+            rng,
+            event_log,
+            self._contention_scope.applies,
         )
         self._rotation = WeightedRoundRobin()
         own = Member(
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/queue_retry_budget.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/queue_retry_budget.py
@@ -88,6 +88,7 @@
     def makes_calls(self, route: str) -> bool:
         """Whether requests of a route make nested calls; True if not known."""
         return self._mean_calls.get(route, 1.0) > 0.0
+
     def covered_keys(self, rank: int, failure_rate: float) -> int:
         """Return how many of the lowest sampling keys of a rank are covered."""
         return self._budget.covered_keys(rank, self.n_replicas(), failure_rate)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_coverage.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_coverage.py
@@ -7,7 +7,6 @@
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
 from fuchsiagap.core.retries.tree_coverage import TreeCoverage
 from fuchsiagap.core.shedding.allocation import MIN_GUARANTEED_SHARE
-from fuchsiagap_node.core.mesh.messages import NO_SPEED
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -15,9 +14,9 @@
     from fuchsiagap.core.clock import Clock
     from fuchsiagap.core.placement.choice import Target
     from fuchsiagap.core.routes.model import Route
+    from fuchsiagap_node.core.mesh.contention_scope import ContentionScope
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.messages import DownstreamSummary
-    from fuchsiagap_node.core.mesh.peers import Peers
     from fuchsiagap_node.core.mesh.route_loads import RouteLoads
 
 # Milliseconds between two steps.
@@ -27,12 +26,10 @@
 class RouteCoverage:
     """Tracks the coverage of call trees along the call graph, by route and rank.
 
-    It has no effect unless a backend server states its present speed.
-
     Parameters
     ----------
-    peers : Peers
-        Backend servers that can be reached.
+    scope : ContentionScope
+        Outside of it, all call trees count as covered.
     route_loads : RouteLoads
         Nested calls that the requests of a route make.
     clock : Clock
@@ -43,13 +40,17 @@
     Attributes
     ----------
     is_in_scope : bool
-        Whether any reachable server states its present speed.
+        Whether the control of contention is in force.
     """
 
     def __init__(
-        self, peers: Peers, route_loads: RouteLoads, clock: Clock, event_log: EventLog
+        self,
+        scope: ContentionScope,
+        route_loads: RouteLoads,
+        clock: Clock,
+        event_log: EventLog,
     ) -> None:
-        self._peers = peers
+        self._scope = scope
         self._route_loads = route_loads
         self._clock = clock
         self._event_log = event_log
@@ -59,7 +60,7 @@
 
     def step(self) -> None:
         """Update the scope, and log where the coverage begins or stops to restrict."""
-        self.is_in_scope = self._peers.state_speed()
+        self.is_in_scope = self._scope.applies()
         now = self._clock.now()
         known = {
             (service, kind): share
@@ -94,14 +95,9 @@
     def record_reply(
         self, target: Target, route: str, rank: int, below: DownstreamSummary
     ) -> None:
-        """Update a route from the summary in a reply.
-
-        A node of an earlier release reports neither a speed nor a coverage.
-        """
+        """Update a route from the summary in a reply."""
         keys = below.covered_keys
-        if not self.is_in_scope or (
-            target.speed == NO_SPEED and keys == N_SAMPLING_KEYS
-        ):
+        if not self.is_in_scope:
             return
         kind = _kind(route, rank)
         self._coverage.record(target.service, kind, keys, self._clock.now())
