Remove the import cycle between entry and metered request

Cause: mesh/entry.py imports MeteredRequest, and mesh/metered_request.py imported Entry for its types, so neither module could be read or tested without the other. Change: the protocols QuotaAdmission (what a request needs of the entry) and WorkspaceRequest (what the entry needs of a request) are in mesh/quota_admission.py, which imports neither; Cancellable moves there, too.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -21,11 +21,12 @@
     from collections.abc import Awaitable, Callable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
-    from fuchsiagap_node.core.mesh.entry import Cancellable, Entry
+    from fuchsiagap_node.core.mesh.entry import Entry
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.placement import OnFinalResponse
     from fuchsiagap_node.core.mesh.poller import Poller
+    from fuchsiagap_node.core.mesh.quota_admission import Cancellable
     from fuchsiagap_node.core.mesh.settings import MeshSettings
     from fuchsiagap_node.core.mesh.stream import Stream
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from fuchsiagap_node.core.mesh.final_response import (
     DEFAULT_RETRY_AFTER_MS,
@@ -27,17 +27,11 @@
     from fuchsiagap_node.core.mesh.pending_call import PendingCall
     from fuchsiagap_node.core.mesh.placement import OnFinalResponse
     from fuchsiagap_node.core.mesh.placement_context import PlacementContext
+    from fuchsiagap_node.core.mesh.quota_admission import Cancellable, WorkspaceRequest
     from fuchsiagap_node.core.mesh.quotas import QuotaDecision, Quotas
     from fuchsiagap_node.core.mesh.route_loads import RouteLoads
 
 
-class Cancellable(Protocol):
-    """A request in progress that can be cancelled."""
-
-    def cancel(self) -> None:
-        """Cancel the request because its caller disconnected."""
-
-
 class Entry:
     """Routes each request of a caller, then refuses it or starts its placement.
 
@@ -172,16 +166,16 @@
         return placement
 
     def admit_within_quota(
-        self, metered: MeteredRequest, done: OnFinalResponse, waited: Milliseconds
+        self, request: WorkspaceRequest, done: OnFinalResponse, waited: Milliseconds
     ) -> Placement | None:
         """Apply admission control to a request that has received its quota token."""
         try:
             return self._admit(
-                metered.req,
-                metered.route,
+                request.req,
+                request.route,
                 done,
-                metered.caller_credit,
-                metered.workspace,
+                request.caller_credit,
+                request.workspace,
                 waited,
             )
         except Exception as exc:
@@ -190,10 +184,10 @@
             return None
 
     def refuse_over_quota(
-        self, metered: MeteredRequest, decision: QuotaDecision
+        self, request: WorkspaceRequest, decision: QuotaDecision
     ) -> FinalResponse:
         """Return the response to a request whose workspace has no quota token."""
-        route = metered.route.name
+        route = request.route.name
         cause = decision.verdict.value
         refusal = quota_refusal(decision)
         assert refusal is not None
@@ -201,9 +195,9 @@
         self._event_log.count_outcome(route, str(refusal.status), 0.0)
         self._event_log.event(
             "quota-refused",
-            request=metered.req.request_id,
+            request=request.req.request_id,
             route=route,
-            workspace=metered.workspace.name,
+            workspace=request.workspace.name,
             cause=cause,
             retry_after=round(refusal.retry_after),
         )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/metered_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/metered_request.py
@@ -11,10 +11,10 @@
     from fuchsiagap.core.routes.model import Route
     from fuchsiagap.core.shedding.fair_admission import CallerCredit
     from fuchsiagap.core.workspaces.model import Workspace
-    from fuchsiagap_node.core.mesh.entry import Entry
     from fuchsiagap_node.core.mesh.final_response import FinalResponse
     from fuchsiagap_node.core.mesh.http_request import Request
-    from fuchsiagap_node.core.mesh.placement import OnFinalResponse, Placement
+    from fuchsiagap_node.core.mesh.placement import OnFinalResponse
+    from fuchsiagap_node.core.mesh.quota_admission import Cancellable, QuotaAdmission
     from fuchsiagap_node.core.mesh.quotas import QuotaDecision, Quotas, Waiter
 
 
@@ -25,7 +25,7 @@
 
     Parameters
     ----------
-    entry : Entry
+    entry : QuotaAdmission
         Places the request once it has a token.
     workspace : Workspace
         Workspace of the request.
@@ -54,7 +54,7 @@
 
     def __init__(
         self,
-        entry: Entry,
+        entry: QuotaAdmission,
         workspace: Workspace,
         req: Request,
         route: Route,
@@ -70,7 +70,7 @@
         self._arrived_at = entry.now()
         self._quotas: Quotas | None = None
         self._waiter: Waiter | None = None
-        self._placement: Placement | None = None
+        self._placement: Cancellable | None = None
 
     def start(self, quotas: Quotas) -> bool:
         """Request a token; return whether there is a wait or a placement to cancel."""
