Apply the shares of workspaces at the entry, and show them

Cause: the shares of workspaces have to reach admission control, and operators have to see why one workspace is refused and others are not. Event workspace-shares-changed, gauge workspace_admitted_share, workspace and workspace_share in refused; explain says that a workspace was over its share.

--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
@@ -34,6 +34,7 @@
         "started",
         "stopping",
         "store-lost",
+        "workspace-shares-changed",
     }
 )
 
@@ -184,6 +185,11 @@
         f"refused at the entry: a share of {line.fields.get('share')} of its rank was"
         " admitted"
     )
+    if _is_over_its_share(line):
+        explanation += (
+            f"; workspace {line.fields['workspace']} was over its share, and"
+            f" {line.fields['workspace_share']} of its requests were admitted"
+        )
     if "retry_after" in line.fields:
         explanation += f", told to retry after {line.fields['retry_after']} ms"
     if level_changes:
@@ -193,6 +199,12 @@
     )
 
 
+def _is_over_its_share(line: LogLine) -> bool:
+    """Whether less was admitted of the workspace than of all requests of the kind."""
+    own, share = line.fields.get("workspace_share"), line.fields.get("share")
+    return isinstance(own, float) and isinstance(share, float) and own < share
+
+
 _FAILURE_CAUSES = {
     "link lost": "the link to the node of its backend server was lost",
     "deadline passed": "no answer arrived before the timeout of its route",
--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/explain/test_explain.py
@@ -95,6 +95,14 @@
         self.assertIn("after 250 ms", diagnosis.cause)
         self.assertIn("fullness=1.2", diagnosis.cause)
 
+    def test_refusal_names_a_workspace_only_if_it_was_over_its_share(self):
+        for own, is_named in ((0.1, True), (0.4, False), (0.9, False)):
+            line = _line(
+                2_000, "refused", "r1", share=0.4, workspace="w-1", workspace_share=own
+            )
+            cause = diagnose(parse_log([line]).lines, "r1").cause
+            self.assertEqual(is_named, "w-1 was over its share" in cause, own)
+
     def test_only_state_changes_before_the_end_are_causes(self):
         lines = [
             _line(1_000, "link-down", to="n-2"),
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -140,7 +140,13 @@
         """Return the route name of a kind that has been requested."""
         return self._routes[kind]
 
-    def admits(self, route: Route, share: float, credit: CallerCredit) -> bool:
+    def admits(
+        self,
+        route: Route,
+        share: float,
+        credit: CallerCredit,
+        workspace_credit: CallerCredit | None = None,
+    ) -> bool:
         """Return whether a request is admitted.
 
         First attempts and retries after a refusal are treated alike: callers differ in
@@ -151,11 +157,13 @@
         route : Route
             Route of the request.
         share : float
-            Admitted share of its kind, from `admitted_share`.
+            Admitted share of its kind, from `admitted_share`, or of its workspace.
         credit : CallerCredit
             Admissions that its caller is owed, for fairness among callers.
+        workspace_credit : CallerCredit, optional
+            Admissions that its workspace is owed, if `share` is that of the workspace.
         """
-        return self._fair_admission.admits(route.kind, share, credit)
+        return self._fair_admission.admits(route.kind, share, credit, workspace_credit)
 
     def retry_after(self, route: Route) -> Milliseconds:
         """Return the milliseconds after which a refused caller may retry."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -30,6 +30,7 @@
     from fuchsiagap_node.core.mesh.quota_admission import Cancellable, WorkspaceRequest
     from fuchsiagap_node.core.mesh.quotas import QuotaDecision, Quotas
     from fuchsiagap_node.core.mesh.route_loads import RouteLoads
+    from fuchsiagap_node.core.mesh.workspace_admission import WorkspaceAdmission
 
 
 class Entry:
@@ -54,6 +55,8 @@
         Authenticates the API key of a request and finds its workspace.
     quotas : Quotas
         Request quotas of workspaces.
+    workspace_admission : WorkspaceAdmission
+        Admitted shares of workspaces.
 
     Attributes
     ----------
@@ -75,9 +78,11 @@
         event_log: EventLog,
         authenticator: ApiKeyAuthenticator,
         quotas: Quotas,
+        workspace_admission: WorkspaceAdmission,
     ) -> None:
         self._authenticator = authenticator
         self._quotas = quotas
+        self._workspace_admission = workspace_admission
         self._context = context
         self._route_loads = route_loads
         self._admission = admission
@@ -145,7 +150,7 @@
     ) -> Placement | None:
         """Apply admission control to a new request and start its placement."""
         service = self._rotation.pick(route)
-        refusal = self._refusal(req, route, service, caller_credit)
+        refusal = self._refusal(req, route, service, caller_credit, workspace)
         if refusal is not None:
             done(refusal)
             return None
@@ -208,24 +213,41 @@
         return self._context.clock.now()
 
     def _refusal(
-        self, req: Request, route: Route, service: str, caller_credit: CallerCredit
+        self,
+        req: Request,
+        route: Route,
+        service: str,
+        caller_credit: CallerCredit,
+        workspace: Workspace | None,
     ) -> FinalResponse | None:
         """Return the refusal of a new request, or None if it is admitted."""
         if self.stopping:
             return FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS)
         share = self._admission.admitted_share(service, route)
-        if self._admission.admits(route, share, caller_credit):
+        own = self._workspace_admission.share_for(route, workspace, share)
+        if own is None:
+            admitted = self._admission.admits(route, share, caller_credit)
+        else:
+            admitted = self._admission.admits(
+                route, own.share, caller_credit, own.credit
+            )
+        if admitted:
             return None
         self._context.served.record_refused(route.name, self._context.clock.now())
         retry_after = self._admission.retry_after(route)
         self._event_log.count_outcome(route.name, "refused", 0.0)
         self._event_log.counts["refused_at_entry", f"rank-{route.priority}"] += 1
+        fields: dict[str, object] = {}
+        if own is not None and workspace is not None:
+            fields["workspace"] = workspace.name
+            fields["workspace_share"] = round(own.share, 2)
         self._event_log.event(
             "refused",
             request=req.request_id,
             route=route.name,
             share=round(share, 2),
             retry_after=round(retry_after),
+            **fields,
         )
         return FinalResponse(503, retry_after=retry_after)
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -17,6 +17,7 @@
     from fuchsiagap_node.core.mesh.crash_reports import CrashReports
     from fuchsiagap_node.core.mesh.peers import Peers
     from fuchsiagap_node.core.mesh.quotas import Quotas
+    from fuchsiagap_node.core.mesh.workspace_admission import WorkspaceAdmission
 
 
 # Maximum number of workspaces with separate gauges.
@@ -91,3 +92,10 @@
     for service, kind, share in admission.shares():
         labels = f'service="{service}",route="{kind}"'
         yield Gauge("admitted_share", labels, round(share, 3))
+
+
+def workspace_share_gauges(workspace_admission: WorkspaceAdmission) -> Iterator[Gauge]:
+    """Yield the admitted share of the requests of the busiest workspaces."""
+    for name, share in workspace_admission.busiest(_MAX_WORKSPACES):
+        labels = f'workspace="{name}"'
+        yield Gauge("workspace_admitted_share", labels, round(share, 3))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -35,6 +35,7 @@
     peer_gauges,
     quarantine_gauges,
     workspace_gauges,
+    workspace_share_gauges,
 )
 from fuchsiagap_node.core.mesh.inbound_links import InboundLinks
 from fuchsiagap_node.core.mesh.load_event import load_fields
@@ -56,6 +57,8 @@
 from fuchsiagap_node.core.mesh.stream import accept_all, accept_each, listen
 from fuchsiagap_node.core.mesh.suspension_watch import SuspensionWatch
 from fuchsiagap_node.core.mesh.ticker import TICK_MS, Ticker
+from fuchsiagap_node.core.mesh.workspace_admission import TICK_MS as SHARES_TICK_MS
+from fuchsiagap_node.core.mesh.workspace_admission import WorkspaceAdmission
 from fuchsiagap_node.core.mesh.workspaces import Workspaces
 
 if TYPE_CHECKING:
@@ -172,6 +175,7 @@
         self._admission = Admission(
             self._route_loads, self._placement_context.served, clock, rng, event_log
         )
+        self._workspace_admission = WorkspaceAdmission(self._peers, clock, event_log)
         self._rotation = WeightedRoundRobin()
         own = Member(
             cfg.node,
@@ -202,6 +206,7 @@
             event_log,
             self._workspaces.authenticator,
             self._workspaces.quotas,
+            self._workspace_admission,
         )
         self._callers = CallerListener(cfg, self.entry, clock, event_log, self._poller)
         self.entry.parent_of = self.backend_queue.parent_of
@@ -246,6 +251,7 @@
             (TICK_MS, self.backend_queue.tick),
             (TICK_MS, self._placement_context.tick),
             (STEP_MS, self._admission.step),
+            (SHARES_TICK_MS, self._workspace_admission.tick),
             (_STATUS_INTERVAL_MS, self._send_status),
             (_LOAD_EVENT_INTERVAL_MS, self._log_load),
             (LINK_CHECK_INTERVAL_MS, self._links.check_liveness),
@@ -472,6 +478,7 @@
             quarantine_gauges(self.reports),
             workspace_gauges(self._config, self._workspaces.quotas),
             admission_gauges(self._admission),
+            workspace_share_gauges(self._workspace_admission),
         )
         return FinalResponse(
             200, headers=content_type, body=self.event_log.metrics(gauges).encode()
