--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/shedding/test_workspace_shares.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/shedding/test_workspace_shares.py
@@ -19,7 +19,7 @@
 from fuchsiagap.core.workspaces.model import Workspace
 
 # Usual requests per second of 75 workspaces whose sizes follow a Zipf distribution.
-USUAL = [268.0 * n**-1.2 / 3.31 for n in range(1, 76)]
+USUAL = [268.0 * n**-1.2 / 3.486 for n in range(1, 76)]
 N_NODES = 65
 BURST_AT_MS, END_MS = 15_000.0, 55_000.0
 
