--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -163,7 +163,13 @@
         """Return the route name of a kind that has been requested."""
         return self._routes[kind]
 
-    def admits(self, route: Route, share: float, credit: CallerCredit) -> bool:
+    def admits(
+        self,
+        route: Route,
+        share: float,
+        credit: CallerCredit,
+        workspace_credit: CallerCredit | None = None,
+    ) -> bool:
         """Return whether a request is admitted.
 
         First attempts and retries after a refusal are treated alike: callers differ in
@@ -174,11 +180,15 @@
         route : Route
             Route of the request.
         share : float
-            Admitted share of its kind, from `admitted_share`.
+            Admitted share of its kind, from `admitted_share`, or of its workspace.
         credit : CallerCredit
             Admissions that its caller is owed, for fairness among callers.
+        workspace_credit : CallerCredit, optional
+            Admissions that its workspace is owed, if `share` is that of the workspace.
         """
-        admitted = self._fair_admission.admits(route.kind, share, credit)
+        admitted = self._fair_admission.admits(
+            route.kind, share, credit, workspace_credit
+        )
         self.limits.record(route.kind, admitted)
         return admitted
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from fuchsiagap.core.retries.tree_coverage import n_admitted_keys
 from fuchsiagap_node.core.mesh.final_response import (
@@ -28,8 +28,10 @@
     from fuchsiagap_node.core.mesh.pending_call import PendingCall
     from fuchsiagap_node.core.mesh.placement import OnFinalResponse
     from fuchsiagap_node.core.mesh.placement_context import PlacementContext
+    from fuchsiagap_node.core.mesh.quota_admission import Cancellable, WorkspaceRequest
     from fuchsiagap_node.core.mesh.quotas import QuotaDecision, Quotas
     from fuchsiagap_node.core.mesh.route_loads import RouteLoads
+    from fuchsiagap_node.core.mesh.workspace_admission import WorkspaceAdmission
 
 
 # Cause of a refusal, in its event, where the retry budgets of the services on the route
@@ -37,13 +39,6 @@
 RETRY_BUDGET = "retry-budget"
 
 
-class Cancellable(Protocol):
-    """A request in progress that can be cancelled."""
-
-    def cancel(self) -> None:
-        """Cancel the request because its caller disconnected."""
-
-
 class Entry:
     """Routes each request of a caller, then refuses it or starts its placement.
 
@@ -66,6 +61,8 @@
         Authenticates the API key of a request and finds its workspace.
     quotas : Quotas
         Request quotas of workspaces.
+    workspace_admission : WorkspaceAdmission
+        Admitted shares of workspaces.
 
     Attributes
     ----------
@@ -87,9 +84,11 @@
         event_log: EventLog,
         authenticator: ApiKeyAuthenticator,
         quotas: Quotas,
+        workspace_admission: WorkspaceAdmission,
     ) -> None:
         self._authenticator = authenticator
         self._quotas = quotas
+        self._workspace_admission = workspace_admission
         self._context = context
         self._route_loads = route_loads
         self._admission = admission
@@ -158,7 +157,7 @@
         """Apply admission control to a new request and start its placement."""
         service = self._rotation.pick(route)
         covered = self._context.coverage.share(service, route)
-        refusal = self._refusal(req, route, service, caller_credit, covered)
+        refusal = self._refusal(req, route, service, caller_credit, covered, workspace)
         if refusal is not None:
             done(refusal)
             return None
@@ -187,16 +186,16 @@
         return placement
 
     def admit_within_quota(
-        self, metered: MeteredRequest, done: OnFinalResponse, waited: Milliseconds
+        self, request: WorkspaceRequest, done: OnFinalResponse, waited: Milliseconds
     ) -> Placement | None:
         """Apply admission control to a request that has received its quota token."""
         try:
             return self._admit(
-                metered.req,
-                metered.route,
+                request.req,
+                request.route,
                 done,
-                metered.caller_credit,
-                metered.workspace,
+                request.caller_credit,
+                request.workspace,
                 waited,
             )
         except Exception as exc:
@@ -205,10 +204,10 @@
             return None
 
     def refuse_over_quota(
-        self, metered: MeteredRequest, decision: QuotaDecision
+        self, request: WorkspaceRequest, decision: QuotaDecision
     ) -> FinalResponse:
         """Return the response to a request whose workspace has no quota token."""
-        route = metered.route.name
+        route = request.route.name
         cause = decision.verdict.value
         refusal = quota_refusal(decision)
         assert refusal is not None
@@ -216,9 +215,9 @@
         self._event_log.count_outcome(route, str(refusal.status), 0.0)
         self._event_log.event(
             "quota-refused",
-            request=metered.req.request_id,
+            request=request.req.request_id,
             route=route,
-            workspace=metered.workspace.name,
+            workspace=request.workspace.name,
             cause=cause,
             retry_after=round(refusal.retry_after),
         )
@@ -235,6 +234,7 @@
         service: str,
         caller_credit: CallerCredit,
         covered: float,
+        workspace: Workspace | None,
     ) -> FinalResponse | None:
         """Return the refusal of a new request, or None if it is admitted.
 
@@ -242,21 +242,34 @@
         """
         if self.stopping:
             return FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS)
-        admitted = self._admission.admitted_share(service, route)
-        share = min(admitted, covered)
-        if self._admission.admits(route, share, caller_credit):
+        kind_share = self._admission.admitted_share(service, route)
+        share = min(kind_share, covered)
+        own = self._workspace_admission.share_for(route, workspace, share)
+        if own is None:
+            admitted = self._admission.admits(route, share, caller_credit)
+        else:
+            admitted = self._admission.admits(
+                route, own.share, caller_credit, own.credit
+            )
+        if admitted:
             return None
         self._context.served.record_refused(route.name, self._context.clock.now())
         retry_after = self._admission.retry_after(route)
         self._event_log.count_outcome(route.name, "refused", 0.0)
         self._event_log.counts["refused_at_entry", f"rank-{route.priority}"] += 1
+        fields: dict[str, object] = {}
+        if covered < kind_share:
+            fields["cause"] = RETRY_BUDGET
+        if own is not None and workspace is not None:
+            fields["workspace"] = workspace.name
+            fields["workspace_share"] = round(own.share, 2)
         self._event_log.event(
             "refused",
             request=req.request_id,
             route=route.name,
             share=round(share, 2),
             retry_after=round(retry_after),
-            **({"cause": RETRY_BUDGET} if covered < admitted else {}),
+            **fields,
         )
         return FinalResponse(503, retry_after=retry_after)
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -18,6 +18,7 @@
     from fuchsiagap_node.core.mesh.peers import Peers
     from fuchsiagap_node.core.mesh.quotas import Quotas
     from fuchsiagap_node.core.mesh.route_coverage import RouteCoverage
+    from fuchsiagap_node.core.mesh.workspace_admission import WorkspaceAdmission
 
 
 # Maximum number of workspaces with separate gauges.
@@ -107,3 +108,10 @@
     for service, route, share in coverage.shares():
         labels = f'service="{service}",route="{route}"'
         yield Gauge("covered_share", labels, round(share, 3))
+
+
+def workspace_share_gauges(workspace_admission: WorkspaceAdmission) -> Iterator[Gauge]:
+    """Yield the admitted share of the requests of the busiest workspaces."""
+    for name, share in workspace_admission.busiest(_MAX_WORKSPACES):
+        labels = f'workspace="{name}"'
+        yield Gauge("workspace_admitted_share", labels, round(share, 3))
