Use the present speed that backend servers state

Cause: the fourth figure of the load header, how long work takes on the server's host at present, was not read.

Change: the queue parses the header, stores service times relative to the speed and multiplies them by the present one. The choice of a server adds the expected extra time and compares two servers of each group, drawn at random by throughput. The fullness of a service weights servers by their speed. Without a fourth figure nothing changes.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -15,7 +15,6 @@
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap_node.core.mesh.backend_conns import MIN_TIME_LEFT_MS, BackendConns
 from fuchsiagap_node.core.mesh.crash_reports import CrashReports
-from fuchsiagap_node.core.mesh.messages import NO_SPEED
 from fuchsiagap_node.core.mesh.outcome import (
     CANCELLED,
     EXPIRED,
@@ -34,6 +33,7 @@
 from fuchsiagap_node.core.mesh.queue_retry_budget import QueueRetryBudget
 from fuchsiagap_node.core.mesh.server_crashes import ServerCrashes
 from fuchsiagap_node.core.mesh.server_notices import ServerNotices
+from fuchsiagap_node.core.mesh.server_speed import ServerSpeed
 
 if TYPE_CHECKING:
     import random
@@ -93,6 +93,8 @@
         Quarantine of requests that crash servers.
     notices : ServerNotices
         Limits and departures that servers state in their responses.
+    server_speed : ServerSpeed
+        Present speed that the server states in its responses.
     """
 
     def __init__(
@@ -124,9 +126,14 @@
         self._conns.on_response = self._handle_response
         self.notices = ServerNotices(cfg, clock, event_log)
         self.notices.changed = self._handle_notice
+        self.server_speed = ServerSpeed(clock, event_log)
+        self.server_speed.changed = self._handle_speed
+        self.notices.on_health = self._handle_health
         self._conns.on_unreachable = self._handle_unreachable
         self._conns.is_suspected = lambda: self._crashes.is_suspected
         self._warm_up_ends_at = 0.0
+        # Service times at the usual speed of the server.
+        self._usual_service_ms = 0.0
         self._long_term_service_ms = 0.0
         self._n_long_term_samples = 0
         self.leaving = False
@@ -173,7 +180,7 @@
 
     @property
     def long_term_service_ms(self) -> Milliseconds:
-        """Long-term average service time in milliseconds; 0 if not known.
+        """Long-term average service time at the usual speed; 0 if not known.
 
         Requests that failed at this server are excluded.
         """
@@ -206,7 +213,7 @@
 
         `NO_SPEED` if the server does not state it.
         """
-        return NO_SPEED
+        return self.server_speed.speed
 
     @property
     def heartbeat_age(self) -> Milliseconds:
@@ -275,7 +282,7 @@
     ) -> None:
         """Reset the measurements of the earlier incarnation."""
         self._health.forget_failures()
-        self.notices.begin(report.instance)
+        self._begin_statements(report.instance)
         self._n_long_term_samples = 0
         if old is None or old.instance != report.instance:
             return
@@ -284,6 +291,12 @@
         # them. No further call may use a connection to the earlier incarnation.
         self._conns.close_idle()
 
+    def _begin_statements(self, instance: str) -> None:
+        """Forget what the earlier incarnation stated about itself."""
+        self.notices.begin(instance)
+        self.server_speed.begin(instance)
+        self._apply_speed()
+
     def _apply_state(self, report: BackendReport) -> None:
         """Apply the slots, warm-up and heartbeat of a report."""
         now = self._clock.now()
@@ -304,7 +317,7 @@
         self._crashes.revert(report)
         self._apply_state(report)
         self._health.forget_failures()
-        self.notices.begin(report.instance)
+        self._begin_statements(report.instance)
         self._event_log.event(
             "backend-refuted",
             instance=instance,
@@ -329,6 +342,8 @@
     def tick(self) -> None:
         """Expire overdue calls and detect whether the server is usable."""
         now = self._clock.now()
+        self.server_speed.check()
+        self._apply_speed()
         self._expire(now)
         self._queue.max_waiting = self._max_waiting()
         self._start_waiting()
@@ -429,6 +444,7 @@
         self._at_server[pending] = None
         self._by_id[pending.call.request_id] = pending
         pending.started = now
+        pending.speed_factor = self.server_speed.factor
         self._conns.dispatch(pending)
 
     def _settle(self, pending: PendingCall, outcome: Outcome) -> None:
@@ -486,6 +502,22 @@
     def _handle_response(self, pending: PendingCall, response: Response) -> None:
         """Apply what the server states about itself in a response to a call."""
         self.notices.handle_response(pending.call.instance, response, pending.started)
+        self.server_speed.handle_response(pending.call.instance, response)
+        self._apply_speed()
+
+    def _handle_health(self, instance: str, response: Response) -> None:
+        """Apply the speed that the server states in a response to a health check."""
+        self.server_speed.handle_response(instance, response)
+        self._apply_speed()
+
+    def _handle_speed(self) -> None:
+        """Publish a changed speed, with the load that follows from it."""
+        self._apply_speed()
+        self.changed()
+
+    def _apply_speed(self) -> None:
+        """Derive the present service time from the usual one."""
+        self._queue.service_ms = self._usual_service_ms * self.server_speed.factor
 
     def _handle_notice(self) -> None:
         """Apply a changed limit or departure of the server."""
@@ -504,7 +536,6 @@
 
     def _record_outcome(self, pending: PendingCall, outcome: Outcome) -> None:
         """Update service times and health of the server from an outcome."""
-        queue = self._queue
         now = self._clock.now()
         match outcome:
             case Answered(status):
@@ -521,9 +552,12 @@
                 if reason == CANCELLED:
                     return
                 failed = reason != EXPIRED or not pending.failed_in_nested_call()
-        took = now - pending.started
-        weight = _SERVICE_MS_WEIGHT if queue.service_ms else 1.0
-        queue.service_ms += (took - queue.service_ms) * weight
+        # The speed may have changed while the request ran.
+        factor = 0.5 * (pending.speed_factor + self.server_speed.factor)
+        took = (now - pending.started) / factor
+        weight = _SERVICE_MS_WEIGHT if self._usual_service_ms else 1.0
+        self._usual_service_ms += (took - self._usual_service_ms) * weight
+        self._apply_speed()
         if not failed:
             self._n_long_term_samples += 1
             weight = max(_LONG_TERM_WEIGHT, 1.0 / self._n_long_term_samples)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -11,6 +11,7 @@
 
 import cbor2
 
+from fuchsiagap.core.backend_queue.server_load import NO_SPEED
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.fingerprint import FINGERPRINT_BYTES
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
@@ -20,7 +21,6 @@
     NO_CALLS,
     NO_FLOW,
     NO_RATE,
-    NO_SPEED,
     PROTOCOL,
     Call,
     Cancel,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -52,6 +52,9 @@
     yield Gauge("backend_starts_per_s", "", notices.starts_per_s())
     for instance, other_rate in notices.remembered_rates().items():
         yield Gauge("server_named_rate", f'server="{instance}"', other_rate)
+    yield Gauge("backend_speed", "", backend_queue.speed)
+    age = backend_queue.server_speed.age
+    yield Gauge("backend_speed_age_ms", "", round(age) if age < float("inf") else -1.0)
     yield Gauge("backend_failing_share", "", round(backend_queue.failing(), 3))
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.backend_queue.server_load import NO_SPEED
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap_node.core.mesh.frames import BadFrame
 from fuchsiagap_node.core.mesh.link import FramedLink
@@ -27,6 +28,7 @@
     TokenRequest,
 )
 from fuchsiagap_node.core.mesh.pending_call import PendingCall
+from fuchsiagap_node.core.mesh.server_speed import differs_in_speed, is_slow
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
@@ -45,6 +47,12 @@
 # Milliseconds after the load was last sent to a node, during which a change of the load
 # alone is not sent to it in a status.
 _LOAD_FRESH_MS = 1_000.0
+# The same for a node that was told that the server is slow: it sends its calls
+# elsewhere, so no reply tells it that the load moved with them.
+_SLOW_LOAD_FRESH_MS = 200.0
+# Milliseconds after the last call of a node during which it is told at once that the
+# server has become slow. Other nodes see that in the reply to their next call.
+_CALLED_RECENTLY_MS = 2_000.0
 
 
 @dataclass(slots=True, eq=False)
@@ -60,6 +68,10 @@
     load_sent_at : float
         Local time in milliseconds at which it was last sent the load, in a reply or a
         status.
+    called_at : float
+        Local time in milliseconds of its last call.
+    speed_sent : int
+        The last speed of the server sent to it.
     node : str
         Its name; empty until its greeting has arrived.
     """
@@ -67,6 +79,8 @@
     pending_calls: dict[int, PendingCall] = field(default_factory=dict)
     last_status: Status | None = None
     load_sent_at: Milliseconds = float("-inf")
+    called_at: Milliseconds = float("-inf")
+    speed_sent: int = NO_SPEED
     node: str = ""
 
 
@@ -231,11 +245,13 @@
                 sender.load_sent_at = self._clock.now()
                 queue = self._backend_queue
                 load, offered = queue.reported_load, queue.offered()
+                sender.speed_sent = speed = queue.speed
                 link.post(
-                    Reply(call.call_id, outcome, load, offered, downstream, queue.speed)
+                    Reply(call.call_id, outcome, load, offered, downstream, speed)
                 )
 
-        pending = PendingCall.of(call, self._clock.now(), reply)
+        sender.called_at = self._clock.now()
+        pending = PendingCall.of(call, sender.called_at, reply)
         pending_calls[call.call_id] = pending
         self._backend_queue.submit(pending)
 
@@ -244,30 +260,44 @@
 
         A change of the load alone is not sent to a sender that had a reply or a status
         recently, since replies carry the load. Without this rule, four statuses per
-        second on each of 80 links cost more than the calls of a node.
+        second on each of 80 links cost more than the calls of a node. Small changes of
+        the server's speed are sent in replies only.
         """
         status = self._status()
         now = self._clock.now()
         for link, sender in self._links.items():
-            if not link.hello_sent or sender.last_status == status:
-                continue
-            has_recent_load = now - sender.load_sent_at < _LOAD_FRESH_MS
-            if not (
-                has_recent_load and _differs_in_load_only(sender.last_status, status)
-            ):
+            if link.hello_sent and _is_outdated(sender, status, now):
                 self._post_status(link, sender, status)
 
     def _post_status(self, link: FramedLink, sender: _Sender, status: Status) -> None:
         link.post(status)
         sender.last_status = status
+        sender.speed_sent = status.speed
         sender.load_sent_at = self._clock.now()
 
 
-def _differs_in_load_only(last_status: Status | None, status: Status) -> bool:
-    """Whether a status differs from the last one sent in nothing but the load."""
-    if last_status is None:
+def _is_outdated(sender: _Sender, status: Status, now: Milliseconds) -> bool:
+    """Whether a sender has to be sent a status."""
+    if sender.last_status is None or _needs_speed(sender, status.speed, now):
+        return True
+    last_status = replace(sender.last_status, speed=status.speed)
+    if last_status == status:
         return False
-    return replace(last_status, load=status.load, offered=status.offered) == status
+    if replace(last_status, load=status.load, offered=status.offered) == status:
+        fresh_ms = _SLOW_LOAD_FRESH_MS if is_slow(sender.speed_sent) else _LOAD_FRESH_MS
+        return now - sender.load_sent_at >= fresh_ms
+    return True
+
+
+def _needs_speed(sender: _Sender, speed: int, now: Milliseconds) -> bool:
+    """Whether a sender has to be sent a changed speed of the server."""
+    sent = sender.speed_sent
+    if not differs_in_speed(sent, speed):
+        return False
+    # A sender that was told that the server is slow may send it no calls, and so would
+    # not see in a reply that it no longer is.
+    was_told = NO_SPEED in (sent, speed) or is_slow(sent)
+    return was_told or now - sender.called_at < _CALLED_RECENTLY_MS
 
 
 def _ignore(_: object) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/load_event.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/load_event.py
@@ -59,6 +59,7 @@
         "offered": round(backend_queue.offered(), 1),
         "failing": round(backend_queue.failing(), 2),
         "service_ms": round(backend_queue.service_ms, 1),
+        "speed": backend_queue.speed,
         "ranks": ranks,
         "let_in": refusing,
         "served": by_route,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from fuchsiagap.core.backend_queue.server_load import NO_SPEED
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap.core.retries.backend_budget import N_SAMPLING_KEYS
@@ -20,8 +21,6 @@
 NO_CALLS = -1.0
 # Rate in the report of a server that names no limit.
 NO_RATE = -1.0
-# Present speed of a server that does not state it.
-NO_SPEED = 0
 # Flow of requests without a workspace.
 NO_FLOW = 0
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pending_call.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/pending_call.py
@@ -38,6 +38,9 @@
         The connection that carries it or is being opened for it.
     started : float
         Local time in milliseconds at which it was assigned a slot.
+    speed_factor : float
+        Time that work took at the server when the call started, as a multiple of the
+        usual.
     calls : int
         Number of nested calls that the backend server made for it, at all depths.
     open_calls : int
@@ -53,6 +56,7 @@
     waiting: QueueItem[PendingCall] | None = None
     conn: BackendConn | None = None
     started: Milliseconds = 0.0
+    speed_factor: float = 1.0
     calls: int = 0
     open_calls: int = 0
     call_failed: bool = False
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
@@ -70,6 +70,8 @@
         Returns the send function of each linked node, by node name.
     changed : callable
         Called when the statement of the local server has changed.
+    on_health : callable
+        Called with the incarnation and its response to a health check.
     """
 
     def __init__(self, cfg: MeshSettings, clock: Clock, event_log: EventLog) -> None:
@@ -89,6 +91,7 @@
         self.health_path = ""
         self.posts: Callable[[], Mapping[str, Post]] = dict
         self.changed: Callable[[], None] = _ignore
+        self.on_health: Callable[[str, Response], None] = _ignore_both
 
     @property
     def notice(self) -> ServerNotice:
@@ -306,6 +309,7 @@
             return
         if response.instance in ("", instance):
             self.handle_response(instance, response, sent_at)
+            self.on_health(instance, response)
 
 
 def _encode(instance: str, notice: ServerNotice) -> NoticeReport:
@@ -315,3 +319,7 @@
 
 def _ignore() -> None:
     """Ignore a change."""
+
+
+def _ignore_both(_: str, __: Response) -> None:
+    """Ignore a response."""
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -123,6 +123,11 @@
         Returns further header lines of the response to a health check.
     n_health_checks : int
         Number of health checks.
+    speed : callable or None
+        Returns the time that work takes now, in percent of the usual. If set, `work`
+        takes that much longer, and each response states the load and the speed.
+    slots : int
+        Number of slots that it states with the load.
     on_run : callable or None
         Called with the identifier of each request that runs and awaited before the
         response, to make nested calls. It may raise `CallFailed`.
@@ -145,6 +150,9 @@
         self.behave: Callable[[Request], Behaviour] = lambda _: Behaviour()
         self.health_headers: Callable[[], tuple[bytes, ...]] = tuple
         self.n_health_checks = 0
+        self.speed: Callable[[], int] | None = None
+        self.slots = 8
+        self._n_running = 0
         self.on_run: Callable[[str], Awaitable[None]] | None = None
         self.on_crash: Callable[[], None] | None = None
         self.is_up = True
@@ -235,10 +243,14 @@
         time on a connection.
         """
         is_closed = False
+        if self.speed is not None:
+            work *= self.speed() / 100.0
         if work:
+            self._n_running += 1
             with trio.move_on_after(work / MS_PER_S):
                 await stream.receive()
                 is_closed = True
+            self._n_running -= 1
         return not is_closed
 
     async def _send(self, stream: Stream, request_id: str, b: Behaviour) -> None:
@@ -284,6 +296,9 @@
             names.instance + b": " + self.instance.encode(),
             *headers,
         ]
+        if self.speed is not None:
+            figures = (self._n_running, 0, self.slots, self.speed())
+            lines.append(names.load + b": %d, %d, %d, %d" % figures)
         if not_run:
             lines.append(names.not_run + b": 1")
         lines.append(b"Content-Length: %d" % len(body))
--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.backend_queue.server_load import USUAL_SPEED
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable, Collection, Sequence
@@ -90,6 +92,10 @@
     speed: int = 0
     refusing: float = 0.0
 
+    def speed_factor(self) -> float:
+        """Return the time that work takes now, as a multiple of the usual."""
+        return (self.speed or USUAL_SPEED) / USUAL_SPEED
+
     def fullness(self) -> float:
         """Return the requests per slot if one more request is sent."""
         return (self.others + self.own_in_flight + 1) / max(self.limit, 1)
@@ -124,6 +130,19 @@
 SLOWNESS_PENALTY = 0.4
 MAX_SLOWNESS = 1.5
 
+# Fullness added to a server for each service time that a request takes longer there
+# than at the usual speed, also where all servers are busy: at a fullness above 1, one
+# more unit of it is one service time of waiting.
+EXTRA_TIME_PENALTY = 1.0
+# Bounds of the extra time that counts, in service times.
+_MIN_EXTRA = -0.5
+_MAX_EXTRA = 4.0
+# Servers of each group, drawn with replacement, that one choice compares where servers
+# state their speed. Many senders learn at the same moment that a server is fast again;
+# if each compared all servers, all would choose that one until they see its load.
+_DRAWN = 2
+_MIN_HEALTHY_DRAW = 0.1
+
 # Maximum servers of the own data centre, and of all others, that one choice compares.
 _MAX_COMPARED = 6
 
@@ -176,8 +195,11 @@
     best: Target | None = None
     best_cost = float("inf")
     slowness = _slowness_cost(usable)
+    if any(target.speed for target in usable):
+        usable = _draw(usable, rng)
     for target in usable:
         cost = target.cost(penalty) + slowness(target) + rng.random() * 0.02
+        cost += EXTRA_TIME_PENALTY * _extra_time(target)
         if cost < best_cost:
             best, best_cost = target, cost
     return best
@@ -205,6 +227,30 @@
     return cost
 
 
+def _extra_time(target: Target) -> float:
+    """Return the extra time of a request at the present speed, in service times."""
+    return min(max(target.speed_factor() - 1.0, _MIN_EXTRA), _MAX_EXTRA)
+
+
+def _draw(usable: list[Target], rng: random.Random) -> list[Target]:
+    """Return the servers of each group that one choice compares.
+
+    A server is drawn in proportion to the requests that it can complete per time.
+    """
+    drawn: list[Target] = []
+    for is_local in (True, False):
+        group = [t for t in usable if t.local is is_local]
+        if group:
+            weights = [_throughput(target) for target in group]
+            drawn += rng.choices(group, weights, k=_DRAWN)
+    return drawn
+
+
+def _throughput(target: Target) -> float:
+    healthy = max(1.0 - target.failing, _MIN_HEALTHY_DRAW)
+    return max(target.limit, 1) * healthy / (1.0 + _extra_time(target))
+
+
 def _no_cost(_: Target) -> float:
     return 0.0
 
@@ -225,7 +271,9 @@
 
     The slots of a failing server count only in proportion to the requests that it
     completes. Otherwise a healthy server beside a failed one would look half as full as
-    it is.
+    it is. Servers are weighted by their present speed: a slow one completes fewer
+    requests with its slots. Its requests go elsewhere, so the load that it reports for
+    those of the last moments is counted at the usual speed.
 
     Parameters
     ----------
@@ -241,8 +289,9 @@
     slots = 0.0
     for target in targets:
         if target.usable:
-            load += target.offered
-            slots += target.limit * max(1.0 - target.failing, _MIN_HEALTHY_SHARE)
+            healthy = max(1.0 - target.failing, _MIN_HEALTHY_SHARE)
+            load += target.offered / target.speed_factor()
+            slots += target.limit * healthy / target.speed_factor()
     return load / slots if slots else 0.0
 
 
