--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -131,9 +131,11 @@
 MAX_SLOWNESS = 1.5
 
 # Fullness added to a server for each service time that a request takes longer there
-# than at the usual speed, also where all servers are busy: at a fullness above 1, one
-# more unit of it is one service time of waiting.
+# than at the usual speed: while at least half of the slots are free, and where all are
+# in use. With 1.0 at any load, nine servers with 0.75 of their slots in use leave the
+# slow ones idle, so that the others queue and entry nodes refuse 3 of 100 requests.
 EXTRA_TIME_PENALTY = 1.0
+BUSY_EXTRA_TIME_PENALTY = 0.4
 # Bounds of the extra time that counts, in service times.
 _MIN_EXTRA = -0.5
 _MAX_EXTRA = 4.0
@@ -195,11 +197,13 @@
     best: Target | None = None
     best_cost = float("inf")
     slowness = _slowness_cost(usable)
+    extra_penalty = 0.0
     if any(target.speed for target in usable):
+        extra_penalty = _extra_time_penalty(usable)
         usable = _draw(usable, rng)
     for target in usable:
         cost = target.cost(penalty) + slowness(target) + rng.random() * 0.02
-        cost += EXTRA_TIME_PENALTY * _extra_time(target)
+        cost += extra_penalty * _extra_time(target)
         if cost < best_cost:
             best, best_cost = target, cost
     return best
@@ -227,6 +231,13 @@
     return cost
 
 
+def _extra_time_penalty(targets: Sequence[Target]) -> float:
+    """Return the fullness added for each service time that a request takes longer."""
+    fullness = sum(t.fullness() for t in targets) / len(targets)
+    penalty = EXTRA_TIME_PENALTY * 2.0 * (1.0 - fullness)
+    return min(max(penalty, BUSY_EXTRA_TIME_PENALTY), EXTRA_TIME_PENALTY)
+
+
 def _extra_time(target: Target) -> float:
     """Return the extra time of a request at the present speed, in service times."""
     return min(max(target.speed_factor() - 1.0, _MIN_EXTRA), _MAX_EXTRA)
