Report the load of a server with a named limit in parts of a slot

Cause: a limit of requests per second is reported as the slots that it is worth, rounded to whole ones. An average of the arrivals over 200 ms, which spans seven requests, added to it.

Change: where the limit is rounded down, the offered load is scaled down with it; it is averaged over 1 s, and sent in quarters of the limit.

Scaling up where the limit is rounded up was tried as well: it lost a quarter of limits worth less than a slot.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -61,6 +61,9 @@
 _ANSWER_GRACE_MS = 80.0
 # Service time assumed for a server that names a limit while its own is not known.
 _ASSUMED_SERVICE_MS = 100.0
+# Time constant of the arrival rate at a server that names a limit. At 33 requests per
+# second, an average over 200 ms spans seven requests, and fluctuates by a third.
+_LIMIT_AVERAGING_MS = 1_000.0
 
 
 class BackendQueue:
@@ -112,6 +115,7 @@
         self._event_log = event_log
         self._queue: RankedQueue[PendingCall] = RankedQueue(1)
         self._offered = OfferedLoad()
+        self._offered_to_limit = OfferedLoad(_LIMIT_AVERAGING_MS)
         self.rank_stats = RankStats()
         self._queue_timeouts = QueueTimeouts()
         self._incarnation = IncarnationTracker()
@@ -157,11 +161,15 @@
         If the server names a limit of requests per second, the slots that so many
         requests occupy.
         """
+        return max(round(self._exact_limit()), 1)
+
+    def _exact_limit(self) -> float:
+        """Return the limit with fractions of a slot."""
         rate = self.notices.rate()
         if rate is None:
             return self._queue.limit
         service_ms = self._queue.service_ms or _ASSUMED_SERVICE_MS
-        return min(max(round(rate * service_ms / MS_PER_S), 1), self._queue.limit)
+        return min(rate * service_ms / MS_PER_S, self._queue.limit)
 
     @property
     def reported_load(self) -> int:
@@ -223,12 +231,17 @@
     def offered(self) -> float:
         """Return the offered load, as the number of slots that it would occupy.
 
-        The load is scaled up while nested calls time out in the queue.
+        The load is scaled up while nested calls time out in the queue, and scaled down
+        where `limit` is rounded down, since a limit of 1.4 slots that counts as one
+        would look full at 0.7 of its rate.
         """
         queue = self._queue
         if not queue.service_ms:
             return queue.load
-        slots = self._offered.places(self._clock.now(), queue.service_ms, queue.waiting)
+        is_limited = self.notices.rate() is not None
+        offered = self._offered_to_limit if is_limited else self._offered
+        slots = offered.places(self._clock.now(), queue.service_ms, queue.waiting)
+        slots *= min(self.limit / max(self._exact_limit(), 1.0), 1.0)
         return slots * self._queue_timeouts.load_factor(self._clock.now())
 
     def is_warming(self) -> bool:
@@ -366,6 +379,7 @@
             return
         now = self._clock.now()
         self._offered.record_arrival(now)
+        self._offered_to_limit.record_arrival(now)
         self.rank_stats.record_arrival(call.rank, now)
         if call.is_nested:
             self._queue_timeouts.record_arrival(call.rank, now)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_status.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from fuchsiagap_node.core.mesh.messages import Status
@@ -40,7 +41,7 @@
             backend_queue.instance(),
             backend_queue.limit,
             _round_down(backend_queue.reported_load, backend_queue.limit),
-            _round_down(round(backend_queue.offered()), backend_queue.limit),
+            self._reported_offered(),
             round(backend_queue.failing(), 1),
             backend_queue.is_warming(),
             self._config.active.version,
@@ -51,6 +52,17 @@
             round(backend_queue.refusing(), 1),
         )
 
+    def _reported_offered(self) -> float:
+        """Return the offered load to send, rounded down to a step.
+
+        Where the server names a limit, which may be worth a slot or less, a step may
+        be less than a slot.
+        """
+        offered, limit = self._backend_queue.offered(), self._backend_queue.limit
+        if self._backend_queue.notices.rate() is None:
+            return _round_down(round(offered), limit)
+        return math.floor(offered * _STEPS / limit) * limit / _STEPS
+
     def _reported_service_ms(self) -> int:
         """Return the service time to send, which ignores small fluctuations."""
         now_ms = self._backend_queue.long_term_service_ms
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 from collections import Counter
+from functools import partial
 from unittest.mock import Mock
 
 import trio
@@ -106,7 +107,14 @@
 
 class TestNamedLimit(TestCase):
     def run_limited(
-        self, during, n_hosts=6, seed=1, rate=RATE, seconds=15.0, work_ms=WORK_MS
+        self,
+        during,
+        n_hosts=6,
+        seed=1,
+        rate=RATE,
+        seconds=15.0,
+        work_ms=WORK_MS,
+        services=(CERTS,),
     ):
         """Run load on hosts of which two name a limit after 3 s.
 
@@ -117,7 +125,7 @@
         async def main():
             async with a_deployment(a_route("read")) as deployment:
                 deployment.first_seed = seed * 100
-                deployment.put_config(a_route("read"), services=(CERTS,))
+                deployment.put_config(a_route("read"), services=services)
                 hosts = [
                     deployment.add("certs", DATA_CENTRES[n % 3], slots=30)
                     for n in range(n_hosts)
@@ -149,6 +157,30 @@
                 self.assertLessEqual(most, allowed(RATE), f"seed {seed}")
             self.assertGreater(served_share(outcomes), 0.99)
 
+    def test_limits_with_a_sixth_of_the_rate_left_refuse_few_requests(self):
+        # The limit is worth 1.4 and 2.4 slots, which are reported as 1 and 2.
+        async def main(work_ms):
+            async with a_deployment(a_route("read")) as deployment:
+                hosts = [
+                    deployment.add("certs", DATA_CENTRES[n % 3], slots=30)
+                    for n in range(6)
+                ]
+                await deployment.settle()
+                servers = Servers(hosts, work_ms)
+                for host in hosts:
+                    servers.headers[host.server.instance] = limit_header(40.0)
+                await send_load(hosts, 3.0, Counter())
+                began = trio.current_time()
+                outcomes = Counter()
+                await send_load(hosts, 10.0, outcomes)
+                most = [servers.most_in_four_seconds(host, began) for host in hosts]
+                return served_share(outcomes), max(most)
+
+        for work_ms in (35.0, 60.0):
+            served, most = run_in_memory(partial(main, work_ms))
+            self.assertGreater(served, 0.99, work_ms)
+            self.assertLessEqual(most, allowed(40.0))
+
     def test_server_with_a_limit_still_gets_requests(self):
         _, servers, limited, named_at, outcomes = self.run_limited(
             self.do_nothing, rate=20.0, work_ms=200.0
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/offered_load.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/offered_load.py
@@ -23,9 +23,15 @@
     by how much: a queue grows under any excess, however small, and shrinks only once
     far too few requests are admitted. The arrival rate times the service time is
     proportional to what the entry nodes admit, both below and above the capacity.
+
+    Parameters
+    ----------
+    averaging_ms : float, default=AVERAGING_MS
+        Time constant of the arrival rate in milliseconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, averaging_ms: Milliseconds = AVERAGING_MS) -> None:
+        self._averaging_ms = averaging_ms
         self._arrivals = 0.0
         self._at: Milliseconds = 0.0
 
@@ -54,8 +60,8 @@
             Slots; above the server's limit if it is overloaded.
         """
         self._decay(now)
-        return service_ms * (self._arrivals / AVERAGING_MS + waiting / BACKLOG_MS)
+        return service_ms * (self._arrivals / self._averaging_ms + waiting / BACKLOG_MS)
 
     def _decay(self, now: Milliseconds) -> None:
-        self._arrivals *= math.exp((self._at - now) / AVERAGING_MS)
+        self._arrivals *= math.exp((self._at - now) / self._averaging_ms)
         self._at = now
