Send a few requests to servers whose limit is worth less than a slot

Cause: such a server counts as full with one request, so it is not chosen while others have free slots. Without a health check, only a response shows that the limit was withdrawn: of six servers, two with a limit of 6 requests per second got no request after withdrawing it.

Change: each node sends such a server a request when a probe is due.

Result: six seconds after the withdrawal, both servers get at least 0.7 of the usual requests; under the limit they get no more than it allows.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -237,6 +237,8 @@
         self._workspaces.prepare_inbound(self._inbound)
         self._inbound.on_report = self.reports.handle
         notices = self.backend_queue.notices
+        self._placement_context.probe_rates = notices.probe_rates
+        self._placement_context.n_senders = lambda: sum(1 for _ in self._links) + 1
         self._inbound.on_notice = notices.handle_report
         self._inbound.send_snapshot = self._send_snapshot
         self.reports.peers = notices.posts = self._post_functions
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
@@ -6,14 +6,16 @@
 from typing import TYPE_CHECKING, Protocol
 
 from fuchsiagap.core.placement.choice import choose, remote_penalty
+from fuchsiagap.core.placement.limit_probes import LimitProbes
 from fuchsiagap.core.retries.backend_budget import N_SAMPLING_KEYS
 from fuchsiagap.core.shedding.served import ServedShares
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Sequence
+    from collections.abc import Callable, Collection, Mapping, Sequence
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap.core.placement.choice import Target
     from fuchsiagap.core.workspaces.model import Workspace
     from fuchsiagap_node.core.mesh.crash_reports import CrashReports
     from fuchsiagap_node.core.mesh.event_log import EventLog
@@ -61,6 +63,10 @@
         Requests without a final response.
     served : ServedShares
         Shares of the requests of this node's callers that succeeded, by route.
+    probe_rates : callable
+        Returns the rates at which servers that name a limit may be probed.
+    n_senders : callable
+        Returns the number of nodes that may send requests to a server.
     caller_line : bytes
         Header line that names the service of this host as the caller.
     target_name : bytes
@@ -86,6 +92,9 @@
         self.event_log = event_log
         self.in_progress: dict[InProgress, None] = {}
         self.served = ServedShares()
+        self._limit_probes = LimitProbes(rng)
+        self.probe_rates: Callable[[], Mapping[str, float]] = dict
+        self.n_senders: Callable[[], int] = int
         self.reports = reports
         self.caller_line = b"%s: %s\r\n" % (cfg.names.caller, cfg.service.encode())
         self.target_name = cfg.names.target
@@ -131,13 +140,23 @@
         if only is not None:
             targets = [target for target in targets if target.instance in only]
         penalty = remote_penalty(self._bytes.get(route, 0.0))
-        target = choose(targets, tried, self._rng, penalty)
+        target = None if tried or only is not None else self._choose_probe(targets)
+        if target is None:
+            target = choose(targets, tried, self._rng, penalty)
         if target is None and tried:
             target = choose(targets, tried[-1:], self._rng, penalty)
         if target is None and only is not None:
             target = choose(targets, (), self._rng, penalty)
         return None if target is None else self.peers.get(target.node)
 
+    def _choose_probe(self, targets: Sequence[Target]) -> Target | None:
+        """Return a server that is due for a probe of its limit, if any."""
+        rates = self.probe_rates()
+        if not rates:
+            return None
+        now = self.clock.now()
+        return self._limit_probes.choose(targets, rates, self.n_senders(), now)
+
     def record_bytes(self, route: str, n_bytes: int) -> None:
         """Update the average size of a route's requests and answers."""
         known = self._bytes.get(route, float(n_bytes))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
@@ -286,6 +286,18 @@
             if notice.rate is not None
         }
 
+    def probe_rates(self) -> Mapping[str, float]:
+        """Return the rates at which servers with a limit may be probed, by incarnation.
+
+        Includes the local server. A server that names a limit of zero gets a trickle.
+        """
+        if self.notice.rate is None and not self._remembered:
+            return {}
+        rates = {**self.remembered_rates()}
+        if self.notice.rate is not None:
+            rates[self._instance] = self.notice.rate
+        return {instance: rate or _TRICKLE_RATE for instance, rate in rates.items()}
+
     async def run(self) -> None:
         """Publish new rates, and check the health of servers without requests."""
         while True:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_named_limit.py
@@ -157,6 +157,23 @@
                 self.assertLessEqual(most, allowed(RATE), f"seed {seed}")
             self.assertGreater(served_share(outcomes), 0.99)
 
+    def test_withdrawal_is_seen_without_a_health_check_while_others_have_capacity(self):
+        async def withdraw(deployment, hosts, servers, named_at):
+            await trio.sleep(4.0)
+            for host in hosts[:2]:
+                servers.headers[host.server.instance] = ()
+            return trio.current_time()
+
+        ended_at, servers, limited, named_at, outcomes = self.run_limited(
+            withdraw, seconds=16.0, services=()
+        )
+        for host in limited:
+            held = servers.count(host, named_at + 0.5, ended_at)
+            self.assertLessEqual(held, allowed(RATE))
+            later = servers.count(host, ended_at + 6.0, ended_at + 8.0)
+            self.assertGreater(later, 0.7 * DEMAND * 2.0)
+        self.assertGreater(served_share(outcomes), 0.99)
+
     def test_limits_with_a_sixth_of_the_rate_left_refuse_few_requests(self):
         # The limit is worth 1.4 and 2.4 slots, which are reported as 1 and 2.
         async def main(work_ms):
