--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -13,12 +13,14 @@
 from fuchsiagap.core.backend_queue.queue_timeouts import QueueTimeouts
 from fuchsiagap.core.backend_queue.rank_stats import RankStats
 from fuchsiagap.core.backend_queue.ranked_queue import MAX_QUEUE_MS, RankedQueue
-from fuchsiagap.core.backend_queue.server_load import parse_server_load
+from fuchsiagap.core.backend_queue.server_load import (
+    InvalidLoadError,
+    parse_server_load,
+)
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
 from fuchsiagap_node.core.mesh.backend_conns import MIN_TIME_LEFT_MS, BackendConns
 from fuchsiagap_node.core.mesh.crash_reports import CrashReports
-from fuchsiagap_node.core.mesh.messages import NO_SPEED
 from fuchsiagap_node.core.mesh.outcome import (
     CANCELLED,
     EXPIRED,
@@ -37,6 +39,7 @@
 from fuchsiagap_node.core.mesh.queue_retry_budget import QueueRetryBudget
 from fuchsiagap_node.core.mesh.server_crashes import ServerCrashes
 from fuchsiagap_node.core.mesh.server_notices import ServerNotices
+from fuchsiagap_node.core.mesh.server_speed import ServerSpeed
 
 if TYPE_CHECKING:
     import random
@@ -64,6 +67,9 @@
 _ANSWER_GRACE_MS = 80.0
 # Service time assumed for a server that names a limit while its own is not known.
 _ASSUMED_SERVICE_MS = 100.0
+# Time constant of the arrival rate at a server that names a limit. At 33 requests per
+# second, an average over 200 ms spans seven requests, and fluctuates by a third.
+_LIMIT_AVERAGING_MS = 1_000.0
 
 
 class BackendQueue:
@@ -98,6 +104,8 @@
         Limits and departures that servers state in their responses.
     controls_contention : callable
         Returns whether the control of contention is in force; see `ContentionScope`.
+    server_speed : ServerSpeed
+        Present speed that the server states in its responses.
     """
 
     def __init__(
@@ -115,6 +123,7 @@
         self._event_log = event_log
         self._queue: RankedQueue[PendingCall] = RankedQueue(1)
         self._offered = OfferedLoad()
+        self._offered_to_limit = OfferedLoad(_LIMIT_AVERAGING_MS)
         self.rank_stats = RankStats()
         self._queue_timeouts = QueueTimeouts()
         self._incarnation = IncarnationTracker()
@@ -129,9 +138,14 @@
         self._conns.on_response = self._handle_response
         self.notices = ServerNotices(cfg, clock, event_log)
         self.notices.changed = self._handle_notice
+        self.server_speed = ServerSpeed(clock, event_log)
+        self.server_speed.changed = self._handle_speed
+        self.notices.on_health = self._handle_health
         self._conns.on_unreachable = self._handle_unreachable
         self._conns.is_suspected = lambda: self._crashes.is_suspected
         self._warm_up_ends_at = 0.0
+        # Service times at the usual speed of the server.
+        self._usual_service_ms = 0.0
         self._long_term_service_ms = 0.0
         self._n_long_term_samples = 0
         self.leaving = False
@@ -157,11 +171,15 @@
         If the server names a limit of requests per second, the slots that so many
         requests occupy.
         """
+        return max(round(self._exact_limit()), 1)
+
+    def _exact_limit(self) -> float:
+        """Return the limit with fractions of a slot."""
         rate = self.notices.rate()
         if rate is None:
             return self._queue.limit
         service_ms = self._queue.service_ms or _ASSUMED_SERVICE_MS
-        return min(max(round(rate * service_ms / MS_PER_S), 1), self._queue.limit)
+        return min(rate * service_ms / MS_PER_S, self._queue.limit)
 
     @property
     def reported_load(self) -> int:
@@ -180,7 +198,7 @@
 
     @property
     def long_term_service_ms(self) -> Milliseconds:
-        """Long-term average service time in milliseconds; 0 if not known.
+        """Long-term average service time at the usual speed; 0 if not known.
 
         Requests that failed at this server are excluded.
         """
@@ -240,7 +258,7 @@
 
         `NO_SPEED` if the server does not state it.
         """
-        return NO_SPEED
+        return self.server_speed.speed
 
     @property
     def heartbeat_age(self) -> Milliseconds:
@@ -250,12 +268,17 @@
     def offered(self) -> float:
         """Return the offered load, as the number of slots that it would occupy.
 
-        The load is scaled up while nested calls time out in the queue.
+        The load is scaled up while nested calls time out in the queue, and scaled down
+        where `limit` is rounded down, since a limit of 1.4 slots that counts as one
+        would look full at 0.7 of its rate.
         """
         queue = self._queue
         if not queue.service_ms:
             return queue.load
-        slots = self._offered.places(self._clock.now(), queue.service_ms, queue.waiting)
+        is_limited = self.notices.rate() is not None
+        offered = self._offered_to_limit if is_limited else self._offered
+        slots = offered.places(self._clock.now(), queue.service_ms, queue.waiting)
+        slots *= min(self.limit / max(self._exact_limit(), 1.0), 1.0)
         return slots * self._queue_timeouts.load_factor(self._clock.now())
 
     def is_warming(self) -> bool:
@@ -309,7 +332,7 @@
     ) -> None:
         """Reset the measurements of the earlier incarnation."""
         self._health.forget_failures()
-        self.notices.begin(report.instance)
+        self._begin_statements(report.instance)
         self._n_long_term_samples = 0
         if old is None or old.instance != report.instance:
             return
@@ -318,6 +341,12 @@
         # them. No further call may use a connection to the earlier incarnation.
         self._conns.close_idle()
 
+    def _begin_statements(self, instance: str) -> None:
+        """Forget what the earlier incarnation stated about itself."""
+        self.notices.begin(instance)
+        self.server_speed.begin(instance)
+        self._apply_speed()
+
     def _apply_state(self, report: BackendReport) -> None:
         """Apply the slots, warm-up and heartbeat of a report."""
         now = self._clock.now()
@@ -338,7 +367,7 @@
         self._crashes.revert(report)
         self._apply_state(report)
         self._health.forget_failures()
-        self.notices.begin(report.instance)
+        self._begin_statements(report.instance)
         self._event_log.event(
             "backend-refuted",
             instance=instance,
@@ -363,6 +392,8 @@
     def tick(self) -> None:
         """Expire overdue calls and detect whether the server is usable."""
         now = self._clock.now()
+        self.server_speed.check()
+        self._apply_speed()
         self._expire(now)
         self._queue.max_waiting = self._max_waiting()
         self._start_waiting()
@@ -385,6 +416,7 @@
             return
         now = self._clock.now()
         self._offered.record_arrival(now)
+        self._offered_to_limit.record_arrival(now)
         self.rank_stats.record_arrival(call.rank, now)
         if call.is_nested:
             self._queue_timeouts.record_arrival(call.rank, now)
@@ -481,6 +513,7 @@
         self._at_server[pending] = None
         self._by_id[pending.call.request_id] = pending
         pending.started = now
+        pending.speed_factor = self.server_speed.factor
         self._conns.dispatch(pending)
 
     def _settle(self, pending: PendingCall, outcome: Outcome) -> None:
@@ -545,6 +578,22 @@
         self._health.record_response(
             _refused_with_free_slot(response), self._clock.now()
         )
+        self.server_speed.handle_response(pending.call.instance, response)
+        self._apply_speed()
+
+    def _handle_health(self, instance: str, response: Response) -> None:
+        """Apply the speed that the server states in a response to a health check."""
+        self.server_speed.handle_response(instance, response)
+        self._apply_speed()
+
+    def _handle_speed(self) -> None:
+        """Publish a changed speed, with the load that follows from it."""
+        self._apply_speed()
+        self.changed()
+
+    def _apply_speed(self) -> None:
+        """Derive the present service time from the usual one."""
+        self._queue.service_ms = self._usual_service_ms * self.server_speed.factor
 
     def _handle_notice(self) -> None:
         """Apply a changed limit or departure of the server."""
@@ -563,7 +612,6 @@
 
     def _record_outcome(self, pending: PendingCall, outcome: Outcome) -> None:
         """Update service times and health of the server from an outcome."""
-        queue = self._queue
         now = self._clock.now()
         match outcome:
             case Answered(status):
@@ -580,9 +628,12 @@
                 if reason == CANCELLED:
                     return
                 failed = reason != EXPIRED or not pending.failed_in_nested_call()
-        took = now - pending.started
-        weight = _SERVICE_MS_WEIGHT if queue.service_ms else 1.0
-        queue.service_ms += (took - queue.service_ms) * weight
+        # The speed may have changed while the request ran.
+        factor = 0.5 * (pending.speed_factor + self.server_speed.factor)
+        took = (now - pending.started) / factor
+        weight = _SERVICE_MS_WEIGHT if self._usual_service_ms else 1.0
+        self._usual_service_ms += (took - self._usual_service_ms) * weight
+        self._apply_speed()
         if not failed:
             self._n_long_term_samples += 1
             weight = max(_LONG_TERM_WEIGHT, 1.0 / self._n_long_term_samples)
@@ -594,8 +645,11 @@
     """Whether a server refused a request although it states a free slot."""
     if not response.not_run:
         return False
-    load = parse_server_load(response.load)
-    return load is not None and load.running < load.slots and not load.waiting
+    try:
+        load = parse_server_load(response.load)
+    except InvalidLoadError:
+        return False
+    return load.running < load.slots and not load.waiting
 
 
 def _nothing() -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
@@ -70,6 +70,8 @@
         Returns the send function of each linked node, by node name.
     changed : callable
         Called when the statement of the local server has changed.
+    on_health : callable
+        Called with the incarnation and its response to a health check.
     """
 
     def __init__(self, cfg: MeshSettings, clock: Clock, event_log: EventLog) -> None:
@@ -89,6 +91,7 @@
         self.health_path = ""
         self.posts: Callable[[], Mapping[str, Post]] = dict
         self.changed: Callable[[], None] = _ignore
+        self.on_health: Callable[[str, Response], None] = _ignore_both
 
     @property
     def notice(self) -> ServerNotice:
@@ -283,6 +286,18 @@
             if notice.rate is not None
         }
 
+    def probe_rates(self) -> Mapping[str, float]:
+        """Return the rates at which servers with a limit may be probed, by incarnation.
+
+        Includes the local server. A server that names a limit of zero gets a trickle.
+        """
+        if self.notice.rate is None and not self._remembered:
+            return {}
+        rates = {**self.remembered_rates()}
+        if self.notice.rate is not None:
+            rates[self._instance] = self.notice.rate
+        return {instance: rate or _TRICKLE_RATE for instance, rate in rates.items()}
+
     async def run(self) -> None:
         """Publish new rates, and check the health of servers without requests."""
         while True:
@@ -306,6 +321,7 @@
             return
         if response.instance in ("", instance):
             self.handle_response(instance, response, sent_at)
+            self.on_health(instance, response)
 
 
 def _encode(instance: str, notice: ServerNotice) -> NoticeReport:
@@ -315,3 +331,7 @@
 
 def _ignore() -> None:
     """Ignore a change."""
+
+
+def _ignore_both(_: str, __: Response) -> None:
+    """Ignore a response."""
