--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/rate_admission.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/rate_admission.py
@@ -14,7 +14,7 @@
 START_SHARE = 0.6
 # Milliseconds of the admitted rate that the bucket holds, and that it may be in debt.
 # Arrivals at one node vary by a third within a second; but what the buckets hold is
-# admitted in excess at the onset of a surge: at 400 ms, a tenth more trees fail there.
+# admitted in excess at the onset of a surge: at 400 ms, 0.08 of the trees fail there.
 BURST_MS = 200.0
 # Requests of the heaviest kind that the bucket holds at least, for nodes with few.
 MIN_BURST_REQUESTS = 2.0
