--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
@@ -15,6 +15,9 @@
 _STATE_CHANGE_MARGIN_MS = 4_000.0
 # Maximum number of state changes listed in a likely cause.
 _MAX_LISTED_CHANGES = 4
+# Log events at which an entry node begins or ends to refuse requests of a route.
+_ADMISSION_EVENTS = frozenset({"admission-changed", "rate-admission-changed"})
+_COVERAGE_EVENT = "coverage-changed"
 # Log events of state changes that may determine the outcome of a request.
 _STATE_EVENTS = frozenset(
     {
@@ -29,6 +32,7 @@
         "link-down",
         "link-failed",
         "link-silent",
+        "rate-admission-changed",
         "node-gone",
         "node-suspected",
         "server-notice",
@@ -177,21 +181,21 @@
     route = str(line.fields.get("route"))
     share = line.fields.get("share")
     if line.fields.get("cause") == "retry-budget":
-        event = "coverage-changed"
+        events = frozenset({_COVERAGE_EVENT})
         explanation = (
             "refused at the entry: servers of a service that it needs refused or failed"
             " many requests, and the retry budget covered only a share of"
             f" {share} of the requests of its kind"
         )
     else:
-        event = "admission-changed"
+        events = _ADMISSION_EVENTS
         explanation = (
             f"refused at the entry: a share of {share} of its rank was admitted"
         )
     level_changes = [
         change
         for change in state_changes
-        if change.event == event
+        if change.event in events
         # In coverage-changed, the route is followed by the rank.
         and str(change.fields.get("route")).partition(" at ")[0]
         == route.partition(" at ")[0]
@@ -206,7 +210,8 @@
         explanation += f", told to retry after {line.fields['retry_after']} ms"
     if level_changes:
         return f"{explanation}; since {level_changes[-1].text()}"
-    return f"{explanation}; the refusals began earlier (see {event} of {route})"
+    names = " or ".join(sorted(events))
+    return f"{explanation}; the refusals began earlier (see {names} of {route})"
 
 
 def _is_over_its_share(line: LogLine) -> bool:
@@ -257,7 +262,7 @@
     before = [
         change
         for change in state_changes
-        if change.event not in ("admission-changed", "coverage-changed")
+        if change.event not in {*_ADMISSION_EVENTS, _COVERAGE_EVENT}
         and (change.monotonic <= line.monotonic if change.node == line.node else True)
         and (change.wall <= line.wall or change.node == line.node)
     ]
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
@@ -144,7 +144,9 @@
             return fullness, CUT_LEAK
         return min(fullness, MAX_CORRECTED), CORRECTION_LEAK
 
-    def load_share(self, target: Target, controller_share: float) -> float:
+    def load_share(
+        self, target: Target, controller_share: float, is_worst: bool
+    ) -> float:
         """Return the share of the load that may be admitted.
 
         Parameters
@@ -153,6 +155,8 @@
             Service and kind of the requests.
         controller_share : float
             Share by the shedding controller.
+        is_worst : bool
+            Whether it is for the kinds that are shed first.
 
         Returns
         -------
@@ -172,6 +176,7 @@
                 self.room.largest_load(),
                 share,
                 self._elapsed,
+                is_worst,
             )
         self._update_limited(target, share)
         return share
--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
@@ -25,8 +25,11 @@
 # 1.2 s after its admission, and their fullness is known here some 0.3 s later. With a
 # total lag of 0.7 s, the room is overestimated by 15 % while the load rises.
 LAG_MS = 500.0
+# Time constant in milliseconds of the means that show an increase of capacity, and the
+# factor by which these have to exceed the others. Nodes in use that get the capacity of
+# lost ones would otherwise refuse requests for 4 s while slots are idle.
 FAST_MS = 1_500.0
-FAST_MARGIN = 1.15
+FAST_FACTOR = 1.05
 # Time constant in milliseconds of the demand.
 DEMAND_MS = 250.0
 # Milliseconds after the first reply from which an estimate is used.
@@ -64,6 +67,8 @@
         Approaches 1 once much longer than `AVERAGING_MS` has been observed.
     observed_ms : float
         Milliseconds observed.
+    fast_load, fast_fullness : float
+        Sums like `load` and `fullness` with the time constant `FAST_MS`.
     """
 
     load: float = 0.0
@@ -90,8 +95,9 @@
             return math.inf
         if self.fullness < MIN_FULLNESS * self.weight:
             return math.inf
-        room = self.load / self.fullness
-        return max(room, self.fast_load / max(self.fast_fullness, 0.01) / FAST_MARGIN)
+        fast_fullness = max(self.fast_fullness, MIN_FULLNESS)
+        fast_room = self.fast_load / fast_fullness / FAST_FACTOR
+        return max(self.load / self.fullness, fast_room)
 
 
 @dataclass(slots=True)
