--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.clock import MS_PER_S
-from fuchsiagap.core.shedding.controller import CUT_LEAK
+from fuchsiagap.core.shedding.controller import CUT_LEAK, TARGET_FULLNESS
 from fuchsiagap.core.shedding.rate_admission import START_SHARE, RateAdmission
 from fuchsiagap.core.shedding.room import STALE_MS, Room
 
@@ -28,6 +28,10 @@
 # Fullness by which a controller corrects the admitted rate at most. A higher one is
 # mostly the backlog of an excess that is over when it is known here.
 MAX_CORRECTED = 1.6
+# Fullness below which nothing is limited: a burst by half of the load still fits. The
+# estimate lags behind a load that rises from almost nothing, and half of the requests
+# would be refused for a second where half of the capacity is used.
+FREE_FULLNESS = 0.65
 # Excess per unit of cut at which a controller settles that corrects the rate. With the
 # usual leak, the cut persists for 2 s after an excess that the estimated room already
 # accounts for, and a sixth of the capacity stays unused.
@@ -54,6 +58,8 @@
         self._route_loads = route_loads
         self._event_log = event_log
         self._buckets: dict[Target, RateAdmission] = {}
+        # Fullness as last reported; None if that is out of date.
+        self._reported: dict[Target, float | None] = {}
         # Milliseconds since a target was last limited.
         self._limited: dict[Target, Milliseconds] = {}
         self._out_of_scope_ms = math.inf
@@ -106,6 +112,8 @@
             service, kind = target
             fullness = self._route_loads.fullness(service, routes[kind])
             age = self._route_loads.reply_age(service, routes[kind])
+            is_silent = STALE_MS < age < math.inf
+            self._reported[target] = None if is_silent else fullness
             self.room.observe(target, fullness, age, elapsed)
             self._convert_cut(target, controller, in_scope)
         if not in_scope:
@@ -164,7 +172,7 @@
             Share from 0 to 1.
         """
         share = controller_share
-        if self.room.is_starting(target):
+        if self.room.is_starting(target) and self._is_full(target):
             share *= START_SHARE
         bucket = self._buckets.get(target)
         if bucket is not None:
@@ -181,6 +189,21 @@
         self._update_limited(target, share)
         return share
 
+    def _has_free_capacity(self, target: Target) -> bool:
+        """Whether a service has been far from full, now and in the last seconds."""
+        fullness = self._reported.get(target)
+        if fullness is None:
+            return False
+        return max(fullness, self.room.fullness(target)) < FREE_FULLNESS
+
+    def _is_full(self, target: Target) -> bool:
+        """Whether a service is reported to be full, or its replies have ceased.
+
+        Without this, a node that starts would refuse requests of an idle deployment.
+        """
+        fullness = self._reported.get(target, 0.0)
+        return fullness is None or fullness >= TARGET_FULLNESS
+
     def requests_per_s(self, target: Target, share: float) -> float:
         """Return the requests of a kind that may be admitted now in each second.
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_speed.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_speed.py
@@ -122,7 +122,7 @@
                 speed=speed,
                 slow=slow,
                 age=round(self.age),
-                stuck=self._present.is_stuck(),
+                usual=self._present.usual,
             )
 
     def _take_token(self) -> bool:
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/server_load.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/server_load.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import re
+from collections import deque
 from dataclasses import dataclass
+from statistics import median_low
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -19,10 +21,11 @@
 NO_SPEED = 0
 # Milliseconds for which a figure is used; it changes many times per second.
 MAX_AGE_MS = 500.0
-# A figure above the usual one that has been repeated in each report for this long is
-# taken for a fault of the server. A server that is slow in 15 of 100 intervals of
-# 600 ms is slow for eight intervals in a row once in 4 million intervals.
-STUCK_AFTER_MS = 5_000.0
+# Milliseconds between two figures that are kept to find the usual one of a server, and
+# their number: 6 s. A server that is slow in 15 of 100 intervals of 600 ms is usual in
+# most of ten intervals, and a figure that is repeated for longer counts as usual.
+_KEPT_EVERY_MS = 200.0
+_N_KEPT = 30
 _MAX_STATED = 10_000
 # Bounds of the figure that is used, so that one absurd figure does not make a whole
 # service look overloaded or a server look idle.
@@ -98,32 +101,42 @@
 
 
 class PresentSpeed:
-    """Speed that one incarnation of a backend server states."""
+    """Speed that one incarnation of a backend server states, relative to its usual one.
+
+    Servers on slower hosts state a higher figure at all times. Their usual service time
+    is measured, so that only changes of the figure count here: it is compared with the
+    median of the figures of the last seconds.
+    """
 
     def __init__(self) -> None:
         self._stated = NO_SPEED
         self._stated_at: Milliseconds = float("-inf")
-        self._unchanged_since: Milliseconds = float("-inf")
+        self._kept: deque[int] = deque(maxlen=_N_KEPT)
+        self._kept_at: Milliseconds = float("-inf")
+        self._usual = USUAL_SPEED
 
     def record(self, load: ServerLoad, now: Milliseconds) -> None:
         """Record the load in a response that arrived at `now`, in milliseconds."""
         if load.speed is None:
             return
-        if load.speed != self._stated or self.age(now) > MAX_AGE_MS:
-            self._unchanged_since = now
         self._stated = load.speed
         self._stated_at = now
+        if now - self._kept_at >= _KEPT_EVERY_MS:
+            self._kept.append(load.speed)
+            self._kept_at = now
+            self._usual = median_low(self._kept)
 
     def age(self, now: Milliseconds) -> Milliseconds:
         """Return the milliseconds since the last figure; infinite without one."""
         return now - self._stated_at
 
-    def is_stuck(self) -> bool:
-        """Whether the figure is not used because it has not changed for too long."""
-        return self._stated_at - self._unchanged_since >= STUCK_AFTER_MS
+    @property
+    def usual(self) -> int:
+        """Figure that the server states usually; `USUAL_SPEED` before the first."""
+        return self._usual
 
     def speed(self, now: Milliseconds) -> int:
-        """Return the time that work takes, in percent of the usual.
+        """Return the time that work takes, in percent of the usual at this server.
 
         Parameters
         ----------
@@ -133,11 +146,12 @@
         Returns
         -------
         int
-            `NO_SPEED` if none was ever stated; `USUAL_SPEED` if the figure is outdated
-            or stuck; otherwise the figure, within bounds.
+            `NO_SPEED` if none was ever stated; `USUAL_SPEED` if the figure is outdated;
+            otherwise the figure relative to the usual one, within bounds.
         """
         if self._stated == NO_SPEED:
             return NO_SPEED
-        if self.age(now) > MAX_AGE_MS or self.is_stuck():
+        if self.age(now) > MAX_AGE_MS:
             return USUAL_SPEED
-        return min(max(self._stated, _MIN_USED), _MAX_USED)
+        relative = round(USUAL_SPEED * self._stated / self._usual)
+        return min(max(relative, _MIN_USED), _MAX_USED)
