Test the gauges of admission by rate

Cause: only the values behind admission_room and admission_demand were tested. Change: the test of the events reads the gauges too.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_rate_limits.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_rate_limits.py
@@ -7,6 +7,7 @@
 
 from testtools import TestCase
 
+from fuchsiagap_node.core.mesh.gauges import admission_gauges
 from fuchsiagap_node.tests.core.mesh.overloaded_service import OverloadedService
 from fuchsiagap_node.tests.core.mesh.simulated_service import SimulatedService
 from fuchsiagap_standins.mesh.deployment import a_route
@@ -133,6 +134,9 @@
         # Ten requests with one nested call in 100 ms.
         ((_, _, room),) = service.admission.limits.rooms()
         self.assertAlmostEqual(200.0, room, delta=10.0)
+        gauges = {g.name: g.value for g in admission_gauges(service.admission)}
+        self.assertAlmostEqual(room, gauges["admission_room"], delta=0.1)
+        self.assertAlmostEqual(400.0, gauges["admission_demand"], delta=1.0)
         for _ in range(100):
             service.step([service.admit(route, 2)])
         lines = [json.loads(line) for line in service.event_log.lines()]
