Do not refuse requests of nodes that start beside idle services

Cause: the estimate of room compares the admitted load, after a lag, with the fullness. While the lags fill, the room seems too low: nine nodes at half load refused 599 of 6,017 requests after the onset, and a restarted node refused requests of an idle deployment.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/admission.py
@@ -51,8 +51,10 @@
     event_log : EventLog
         Event log.
     in_scope : callable, optional
-        Returns whether backend servers state their present speed, so that requests are
-        admitted by rate. By default they are not.
+        Returns whether requests are admitted by rate; see `ContentionScope`. By default
+        they are not.
+    has_restarted : bool, default=True
+        Whether the process starts in a deployment that was in use before.
 
     Attributes
     ----------
@@ -68,6 +70,7 @@
         rng: random.Random,
         event_log: EventLog,
         in_scope: Callable[[], bool] = lambda: False,
+        has_restarted: bool = True,
     ) -> None:
         self._route_loads = route_loads
         self._served = served
@@ -82,7 +85,7 @@
         # Route names by kind of request.
         self._routes: dict[str, str] = {}
         self._in_scope = in_scope
-        self.limits = RateLimits(route_loads, event_log)
+        self.limits = RateLimits(route_loads, event_log, has_restarted)
 
     def step(self) -> None:
         """Update each shedding controller from the fullness of its service."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -200,6 +200,7 @@
             rng,
             event_log,
             self._contention_scope.applies,
+            has_restarted=not cfg.first_start,
         )
         self._workspace_admission = WorkspaceAdmission(
             self._contention_scope, clock, event_log
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.clock import MS_PER_S
-from fuchsiagap.core.shedding.controller import CUT_LEAK, TARGET_FULLNESS
+from fuchsiagap.core.shedding.controller import CUT_LEAK
 from fuchsiagap.core.shedding.rate_admission import START_SHARE, RateAdmission
 from fuchsiagap.core.shedding.room import STALE_MS, Room
 
@@ -28,6 +28,12 @@
 # Fullness by which a controller corrects the admitted rate at most. A higher one is
 # mostly the backlog of an excess that is over when it is known here.
 MAX_CORRECTED = 1.6
+# Milliseconds after the start of a process in which other nodes may have started with
+# it, and fullness below which a service counts as idle.
+YOUNG_MS = 5_000.0
+IDLE_FULLNESS = 0.05
+# Fullness of a service from which a node without an estimate is cautious.
+CAUTIOUS_FULLNESS = 0.8
 # Fullness below which nothing is limited: a burst by half of the load still fits. The
 # estimate lags behind a load that rises from almost nothing, and half of the requests
 # would be refused for a second where half of the capacity is used.
@@ -47,6 +53,8 @@
         Fullness of the services that a route's requests reach.
     event_log : EventLog
         Event log.
+    has_restarted : bool, default=True
+        Whether the process starts in a deployment that was in use before.
 
     Attributes
     ----------
@@ -54,10 +62,15 @@
         Estimated room.
     """
 
-    def __init__(self, route_loads: RouteLoads, event_log: EventLog) -> None:
+    def __init__(
+        self, route_loads: RouteLoads, event_log: EventLog, has_restarted: bool = True
+    ) -> None:
         self._route_loads = route_loads
         self._event_log = event_log
         self._buckets: dict[Target, RateAdmission] = {}
+        self._cautious: set[Target] = set()
+        self._has_restarted = has_restarted
+        self._age_ms = 0.0
         # Fullness as last reported; None if that is out of date.
         self._reported: dict[Target, float | None] = {}
         # Milliseconds since a target was last limited.
@@ -103,6 +116,7 @@
         bool
             Whether `load_share` is to be used until the next step.
         """
+        self._age_ms += elapsed
         self._out_of_scope_ms = 0.0 if in_scope else self._out_of_scope_ms + elapsed
         if elapsed <= 0.0 or not self._is_recording:
             return in_scope
@@ -172,7 +186,7 @@
             Share from 0 to 1.
         """
         share = controller_share
-        if self.room.is_starting(target) and self._is_full(target):
+        if self._is_cautious(target):
             share *= START_SHARE
         bucket = self._buckets.get(target)
         if bucket is not None:
@@ -196,13 +210,25 @@
             return False
         return max(fullness, self.room.fullness(target)) < FREE_FULLNESS
 
-    def _is_full(self, target: Target) -> bool:
-        """Whether a service is reported to be full, or its replies have ceased.
+    def _is_cautious(self, target: Target) -> bool:
+        """Whether a node without an estimate admits less than what is requested.
 
-        Without this, a node that starts would refuse requests of an idle deployment.
+        It does so if a service is reported to be full or its replies have ceased, and
+        after a restart if a service is idle, since all nodes may have restarted then. A
+        node that starts beside others in a calm deployment refuses nothing.
         """
+        if not self.room.is_starting(target):
+            self._cautious.discard(target)
+            return False
         fullness = self._reported.get(target, 0.0)
-        return fullness is None or fullness >= TARGET_FULLNESS
+        is_new = self._has_restarted and self._age_ms < YOUNG_MS
+        if (
+            fullness is None
+            or fullness >= CAUTIOUS_FULLNESS
+            or (is_new and fullness < IDLE_FULLNESS)
+        ):
+            self._cautious.add(target)
+        return target in self._cautious
 
     def requests_per_s(self, target: Target, share: float) -> float:
         """Return the requests of a kind that may be admitted now in each second.
--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
@@ -25,6 +25,12 @@
 # 1.2 s after its admission, and their fullness is known here some 0.3 s later. With a
 # total lag of 0.7 s, the room is overestimated by 15 % while the load rises.
 LAG_MS = 500.0
+# The same for kinds whose requests make hardly any calls, as their load shows at once;
+# the load of a request up to which that holds, and the milliseconds of replies after
+# which the load of a request is known.
+LEAF_LAG_MS = 100.0
+LEAF_LOAD = 1.5
+LOAD_KNOWN_MS = 1_000.0
 # Time constant in milliseconds of the means that show an increase of capacity, and the
 # factor by which these have to exceed the others. Nodes in use that get the capacity of
 # lost ones would otherwise refuse requests for 4 s while slots are idle.
@@ -32,6 +38,10 @@
 FAST_FACTOR = 1.05
 # Time constant in milliseconds of the demand.
 DEMAND_MS = 250.0
+# Milliseconds after the first request within which the lags have not filled yet. The
+# load would seem too low for the fullness, and a node that starts beside an idle
+# service would refuse requests.
+FILL_MS = 1_000.0
 # Milliseconds after the first reply from which an estimate is used.
 MIN_OBSERVED_MS = 250.0
 # Milliseconds without a reply after which the means are kept as they are, and after
@@ -114,6 +124,8 @@
         Rate of requests, smoothed over `DEMAND_MS` and over `AVERAGING_MS`.
     lag, lagged : float
         Rate of admitted requests after the first and the second lag.
+    observed_ms : float
+        Milliseconds for which replies have been observed.
     """
 
     load: float = 1.0
@@ -124,6 +136,11 @@
     mean_demand: float = 0.0
     lag: float = 0.0
     lagged: float = 0.0
+    observed_ms: Milliseconds = 0.0
+
+    def is_leaf(self) -> bool:
+        """Whether its requests are known to make hardly any calls."""
+        return self.load <= LEAF_LOAD and self.observed_ms >= LOAD_KNOWN_MS
 
 
 class Room:
@@ -171,7 +188,10 @@
         """
         self._traffic_ms += elapsed if self._kinds else 0.0
         weight = _weight(elapsed, DEMAND_MS)
-        lag_weight = _weight(elapsed, LAG_MS)
+        lag_weight, leaf_weight = (
+            _weight(elapsed, LAG_MS),
+            _weight(elapsed, LEAF_LAG_MS),
+        )
         mean_weight = _weight(elapsed, AVERAGING_MS)
         self._demand_weight += (1.0 - self._demand_weight) * weight
         self._mean_weight += (1.0 - self._mean_weight) * mean_weight
@@ -181,8 +201,9 @@
             rate = kind.new / elapsed
             kind.demand += (rate - kind.demand) * weight
             kind.mean_demand += (rate - kind.mean_demand) * mean_weight
-            kind.lag += (kind.new_admitted / elapsed - kind.lag) * lag_weight
-            kind.lagged += (kind.lag - kind.lagged) * lag_weight
+            lag = leaf_weight if kind.is_leaf() else lag_weight
+            kind.lag += (kind.new_admitted / elapsed - kind.lag) * lag
+            kind.lagged += (kind.lag - kind.lagged) * lag
             admitted += kind.new_admitted * kind.load
             kind.last_new, kind.new, kind.new_admitted = kind.new, 0, 0
         return admitted
@@ -220,12 +241,18 @@
             self._resuming_ms[target] -= elapsed
             if self._resuming_ms[target] <= 0.0:
                 del self._resuming_ms[target]
-        if reply_age > SILENT_MS or target in self._resuming_ms:
+        if (
+            reply_age > SILENT_MS
+            or target in self._resuming_ms
+            or self._traffic_ms < FILL_MS
+        ):
             return
         lagged = sum(kind.lagged * kind.load for kind in self._kinds.values())
         estimate = self._estimates.setdefault(target, _Estimate())
         explained = max(lagged / max(estimate.room(), 1e-9), MAX_FULLNESS)
         estimate.add(lagged, min(fullness, explained), elapsed)
+        if target[1] in self._kinds:
+            self._kinds[target[1]].observed_ms = estimate.observed_ms
 
     def _resume(self, target: Target, silence: Milliseconds) -> None:
         """Handle the first reply after a silence."""
