Test present speed, stampedes and large uploads

A route of kind `upload` is not idempotent, and a request with a large body that may have run is not sent again: both held before, without a test.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_path.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_path.py
@@ -114,6 +114,28 @@
         self.assertEqual({}, dict(refused))
         self.assertEqual({f"r{n}": 1 for n in range(8)}, dict(runs))
 
+    def test_large_upload_that_may_have_run_is_never_sent_again(self):
+        # The body does not fit the socket buffers, so a part of it is still unsent when
+        # the connection is taken into use.
+        body = b"x" * 3_000_000
+        for mode in (ResponseMode.CUT, ResponseMode.GARBLE, ResponseMode.CRASH):
+
+            async def main(mode=mode):
+                async with a_deployment(WRITE) as deployment:
+                    caller = deployment.add("bookings", budget=AMPLE)
+                    hosts = [deployment.add("certs", budget=AMPLE) for _ in range(2)]
+                    for host in hosts:
+                        host.server.behave = lambda _: Behaviour(mode, work=5.0)
+                    await deployment.settle()
+                    answer = await caller.send(
+                        "/write/1", "r1", method="POST", body=body
+                    )
+                    return answer, hosts[0].server.runs + hosts[1].server.runs
+
+            answer, runs = run_in_memory(main)
+            self.assertEqual(502, answer.status, mode)
+            self.assertEqual({"r1": 1}, dict(runs), mode)
+
     def test_non_idempotent_request_that_may_have_run_is_502_and_not_retried(self):
         for mode in (ResponseMode.CUT, ResponseMode.SHORT, ResponseMode.GARBLE):
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_present_speed.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_present_speed.py
@@ -6,6 +6,12 @@
 import trio
 from testtools import TestCase
 
+from fuchsiagap.core.backend_queue.server_load import NO_SPEED
+from fuchsiagap.core.clock import Clock
+from fuchsiagap_node.core.mesh.event_log import EventLog
+from fuchsiagap_node.core.mesh.http_response import Response
+from fuchsiagap_node.core.mesh.server_speed import ServerSpeed
+from fuchsiagap_node.tests.core.mesh.test_gauges import metrics_of
 from fuchsiagap_standins.mesh.backend_server import Behaviour
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
 from fuchsiagap_standins.mesh.virtual import run_in_memory
@@ -106,3 +112,86 @@
             load = self.run_load(seed)
             self.assertLessEqual(load.slow_share(), 0.05, f"seed {seed}")
             self.assertLess(load.percentile(0.95), 110.0, f"seed {seed}")
+
+    def test_speed_is_shown_and_sent_to_other_nodes_at_once(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                caller, host = deployment.add("front"), deployment.add("certs")
+                await deployment.settle()
+                seen = []
+                host.server.speed = lambda: 100
+                await caller.send("/read/1", "r1")
+                host.server.speed = lambda: 250
+                # A request of another caller, whose reply shows this one nothing.
+                await host.send("/read/1", "r2")
+                await trio.sleep(0.01)
+                target = caller.node._peers.targets("certs")[0]
+                seen.append(target.speed)
+                metrics = await metrics_of(host)
+                seen.append(metrics["fuchsiagap_backend_speed{}"])
+                await trio.sleep(0.6)
+                seen.append(target.speed)
+                metrics = await metrics_of(host)
+                seen.append(metrics["fuchsiagap_backend_speed_age_ms{}"] > 500.0)
+                return seen
+
+        self.assertEqual([250, 250.0, 100, True], run_in_memory(main))
+
+    def test_service_time_follows_the_speed(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                host.server.behave = lambda _: Behaviour(work=40.0)
+                await deployment.settle()
+                seen = []
+                for speed in (100, 250, 100):
+                    host.server.speed = lambda speed=speed: speed
+                    for n in range(5):
+                        await host.send("/read/1", f"r{speed}-{n}-{len(seen)}")
+                    seen.append(host.node.backend_queue.service_ms)
+                return seen
+
+        usual, slow, again = run_in_memory(main)
+        self.assertAlmostEqual(40.0, usual, delta=1.0)
+        self.assertAlmostEqual(100.0, slow, delta=3.0)
+        self.assertAlmostEqual(40.0, again, delta=2.0)
+
+
+class TestServerSpeed(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now = 0.0
+        clock = Clock(lambda: self.now, lambda: 0.0)
+        self.log = EventLog("n-1", clock)
+        self.server_speed = ServerSpeed(clock, self.log)
+        self.server_speed.begin("i-1")
+
+    def respond(self, load, instance="i-1"):
+        """Pass on a response with a load."""
+        response = Response(200, b"", b"", b"", load=load)
+        self.server_speed.handle_response(instance, response)
+
+    def test_figure_that_flips_with_each_response_causes_few_messages_and_lines(self):
+        changes = []
+        self.server_speed.changed = lambda: changes.append(self.now)
+        for n in range(2_000):
+            self.now = n * 5.0
+            self.respond(b"1,0,8,%d" % (100 if n % 2 else 250))
+        self.assertLessEqual(len(changes), 4 + 2 * 10)
+        self.assertLessEqual(self.log.counts["events", "server-speed"], 10)
+
+    def test_each_kind_of_malformed_load_is_logged_once_for_an_incarnation(self):
+        for _ in range(3):
+            for value in (b"1,0,8,-5", b"1,0,8,-6", b"1,0", b"1,0,8,0"):
+                self.respond(value)
+        self.assertEqual(3, self.log.counts["events", "load-unreadable"])
+        self.assertEqual(NO_SPEED, self.server_speed.speed)
+        self.server_speed.begin("i-2")
+        self.respond(b"1,0", "i-2")
+        self.assertEqual(4, self.log.counts["events", "load-unreadable"])
+
+    def test_figure_of_an_earlier_incarnation_is_not_used(self):
+        self.respond(b"1,0,8,250")
+        self.server_speed.begin("i-2")
+        self.respond(b"1,0,8,250", "i-1")
+        self.assertEqual(NO_SPEED, self.server_speed.speed)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
@@ -1,4 +1,5 @@
 import random
+from collections import Counter
 
 from testtools import TestCase
 
@@ -112,6 +113,43 @@
         self.assertEqual({"near"}, chosen_nodes(near, far))
 
 
+class TestPresentSpeed(TestCase):
+    def test_slow_server_is_avoided_while_others_have_free_slots(self):
+        slow = a_target("slow", speed=250)
+        others = [a_target(f"n{n}", speed=100, others=5) for n in range(8)]
+        rng = random.Random(1)
+        chosen = [choose([slow, *others], (), rng).node for _ in range(2_000)]
+        # Both draws are the slow server in 0.2 of 100 choices.
+        self.assertLess(chosen.count("slow"), 20)
+
+    def test_slow_server_is_used_where_all_others_are_full(self):
+        slow = a_target("slow", speed=250, others=2)
+        others = [a_target(f"n{n}", speed=100, others=12) for n in range(2)]
+        self.assertIn("slow", chosen_nodes(slow, *others))
+
+    def test_senders_with_stale_figures_do_not_all_choose_the_same_server(self):
+        # Sixty senders learn at the same moment that one of nine servers is idle and
+        # fast again; each sends a request before it learns of the others'.
+        counts = Counter()
+        for seed in range(60):
+            idle = a_target("idle", speed=100)
+            others = [a_target(f"n{n}", speed=100, others=5) for n in range(8)]
+            counts[choose([idle, *others], (), random.Random(seed)).node] += 1
+        # 60 without the draw; two of nine draws give 0.21 of the requests.
+        self.assertLessEqual(max(counts.values()), 2.5 * 60 / 9)
+        self.assertEqual(9, len(counts))
+
+    def test_slow_server_has_less_capacity(self):
+        usual = a_target("a", offered=5.0, speed=100)
+        slow = a_target("b", offered=5.0, speed=250)
+        self.assertAlmostEqual(7.0 / 14.0, service_fullness((usual, slow)))
+
+    def test_nothing_changes_where_no_server_states_its_speed(self):
+        idle = a_target("idle")
+        others = [a_target(f"n{n}", others=5) for n in range(8)]
+        self.assertEqual({"idle"}, chosen_nodes(idle, *others))
+
+
 class TestService(TestCase):
     def test_fullness_counts_usable_servers_only(self):
         targets = (a_target("a", offered=10.0), a_target("b", usable=False))
