--- a/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/placement/choice.py
@@ -282,9 +282,7 @@
 
     The slots of a failing server count only in proportion to the requests that it
     completes. Otherwise a healthy server beside a failed one would look half as full as
-    it is. Servers are weighted by their present speed: a slow one completes fewer
-    requests with its slots. Its requests go elsewhere, so the load that it reports for
-    those of the last moments is counted at the usual speed.
+    it is. The present speed of a server is contained in the load that it reports.
 
     Parameters
     ----------
@@ -301,8 +299,8 @@
     for target in targets:
         if target.usable:
             healthy = max(1.0 - _lost(target), _MIN_HEALTHY_SHARE)
-            load += target.offered / target.speed_factor()
-            slots += target.limit * healthy / target.speed_factor()
+            load += target.offered
+            slots += target.limit * healthy
     return load / slots if slots else 0.0
 
 
