--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
@@ -28,6 +28,9 @@
 # Fullness by which a controller corrects the admitted rate at most. A higher one is
 # mostly the backlog of an excess that is over when it is known here.
 MAX_CORRECTED = 1.6
+# Requests per second from which the load that a node sees after its start may be part
+# of a peak.
+BUSY_PER_S = 6.0
 # Milliseconds after the start of a process in which other nodes may have started with
 # it, and fullness below which a service counts as idle.
 YOUNG_MS = 5_000.0
@@ -221,7 +224,11 @@
             self._cautious.discard(target)
             return False
         fullness = self._reported.get(target, 0.0)
-        is_new = self._has_restarted and self._age_ms < YOUNG_MS
+        is_new = (
+            self._has_restarted
+            and self._age_ms < YOUNG_MS
+            and self.room.requests_since_start_per_s() >= BUSY_PER_S
+        )
         if (
             fullness is None
             or fullness >= CAUTIOUS_FULLNESS
--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
@@ -57,6 +57,8 @@
 # cautious: what it admitted during the failure has reached no service, and other nodes
 # use its part of the capacity.
 RESUME_MS = 1_000.0
+# Requests from which their rate is known.
+_MIN_REQUESTS = 3
 # Fullness up to which a report is taken as it is. A higher one contains the backlog of
 # an earlier excess, and counts only as far as the load admitted here explains it:
 # otherwise a queue that lasts for a second would lower the room by a third for 4 s.
@@ -160,6 +162,7 @@
         self._unanswered: dict[Target, int] = {}
         self._resuming_ms: dict[Target, Milliseconds] = {}
         self._traffic_ms: Milliseconds = 0.0
+        self._n_requests = 0
         self._demand_weight = 0.0
         self._mean_weight = 0.0
 
@@ -169,6 +172,7 @@
         if known is None:
             known = self._kinds[kind] = _Kind()
         known.new += 1
+        self._n_requests += 1
         known.new_admitted += admitted
 
     def step(self, elapsed: Milliseconds, loads: Mapping[str, float]) -> float:
@@ -311,6 +315,12 @@
         total = sum(kind.mean_demand * kind.load for kind in self._kinds.values())
         return total / self._mean_weight if self._mean_weight else 0.0
 
+    def requests_since_start_per_s(self) -> float:
+        """Return the mean rate of requests since the first; 0 for less than three."""
+        if self._n_requests < _MIN_REQUESTS or not self._traffic_ms:
+            return 0.0
+        return self._n_requests / self._traffic_ms * MS_PER_S
+
     def requests_per_s(self, kind: str, rate: float, share: float) -> float:
         """Return the requests of a kind that may be admitted now in each second.
 
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/shedding/test_room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/shedding/test_room.py
@@ -45,7 +45,10 @@
     def test_node_is_cautious_after_its_start_and_after_a_failure(self):
         room = observe(Room(), 5, 10, 0.0, reply_age=math.inf)
         self.assertTrue(room.is_starting(TARGET))
+        # The first replies are compared with a load whose lag has not filled yet.
         observe(room, 3, 10, 0.5)
+        self.assertTrue(room.is_starting(TARGET))
+        observe(room, 6, 10, 0.5)
         self.assertFalse(room.is_starting(TARGET))
         observe(room, 1, 10, 0.5, reply_age=2_000.0)
         observe(room, 1, 10, 0.5)
@@ -53,6 +56,10 @@
         observe(room, 10, 10, 0.5)
         self.assertFalse(room.is_starting(TARGET))
 
+    def test_rate_of_requests_is_known_from_a_few_of_them(self):
+        self.assertEqual(0.0, observe(Room(), 1, 2, 0.0).requests_since_start_per_s())
+        self.assertEqual(20.0, observe(Room(), 5, 2, 0.0).requests_since_start_per_s())
+
     def test_requests_per_second_are_the_admitted_ones_and_what_is_left(self):
         room = observe(Room(), 100, 10, 0.5)
         self.assertAlmostEqual(40.0, room.requests_per_s("read", 0.0, 0.4), delta=0.1)
