--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -561,6 +561,7 @@
             weight = max(_LONG_TERM_WEIGHT, 1.0 / self._n_long_term_samples)
             self._long_term_service_ms += (took - self._long_term_service_ms) * weight
         self._health.record_outcome(failed, now)
+        self.retry_budget.record_outcome(failed)
 
 
 def _refused_with_free_slot(response: Response) -> bool:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/queue_retry_budget.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/queue_retry_budget.py
@@ -85,6 +85,10 @@
         self._event_log.counts["repeats", labels] += 1
         return is_allowed
 
+    def record_outcome(self, failed: bool) -> None:
+        """Record whether the server refused or failed a request."""
+        self._budget.record_outcome(failed)
+
     def covered_keys(self, rank: int, failure_rate: float) -> int:
         """Return how many of the lowest sampling keys of a rank are covered."""
         return self._budget.covered_keys(rank, self.n_replicas(), failure_rate)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_coverage.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_coverage.py
@@ -83,8 +83,10 @@
 
         Parameters
         ----------
-        service, route : str
-            Service and route of the call.
+        service : str
+            Service of the call.
+        route : str
+            Route of the call.
         rank : int
             Priority rank of the root request of its call tree.
         """
@@ -97,6 +99,17 @@
         """Update a route from the summary in a reply.
 
         A node of an earlier release reports neither a speed nor a coverage.
+
+        Parameters
+        ----------
+        target : Target
+            Server to which the call was sent.
+        route : str
+            Route of the call.
+        rank : int
+            Priority rank of the root request of its call tree.
+        below : DownstreamSummary
+            Summary in the reply.
         """
         keys = below.covered_keys
         if not self.is_in_scope or (
--- a/packages/fuchsiagap/src/fuchsiagap/core/retries/backend_budget.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/retries/backend_budget.py
@@ -49,7 +49,7 @@
 # Share of the ratio that backend queues use where call trees are covered. There, a
 # retry is allowed only if it also fits all later windows that contain it. The rest is a
 # margin for queues that start while others count requests that would have been theirs.
-_COVERED_RATIO_USED = 0.95
+_COVERED_RATIO_USED = 0.98
 # Keys by which a retry may exceed the coverage, relative and absolute. A call tree is
 # admitted by an earlier coverage and by a mean over the backend queues.
 _KEY_TOLERANCE = 1.5
@@ -199,6 +199,10 @@
         self._requests += 1
         self._ranks[rank] += 1
 
+    def record_outcome(self, failed: bool) -> None:
+        """Record whether the server refused or failed a request."""
+        self._coverage.record_outcome(failed)
+
     def record_inherited_retry(self) -> None:
         """Count a first attempt that a retry further upstream caused.
 
--- a/packages/fuchsiagap/src/fuchsiagap/core/retries/rank_coverage.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/retries/rank_coverage.py
@@ -33,6 +33,10 @@
 _FAILING_MS = 1_500.0
 _FAST_FAILING_MS = 150.0
 _FAILING_NOISE = 0.15
+# Consecutive successes after which the server counts as recovered. Few requests are
+# admitted then, so the mean over 30 requests would fall for ten seconds. At a failure
+# rate of 0.2, above which the budget does not suffice, they are seen in 1 of 100 cases.
+_RECOVERED_AFTER = 20
 # Highest failure rate for which retries are planned.
 _MAX_FAILING = 0.95
 # Milliseconds between two computations.
@@ -84,6 +88,7 @@
     def __init__(self, now: Milliseconds) -> None:
         self._ranks: dict[int, _Rank] = {}
         self._failing = 0.0
+        self._n_successes = 0
         self._updated_at = now
 
     def record_arrival(self, rank: int, sampling_key: int) -> None:
@@ -93,6 +98,10 @@
             known = self._ranks[rank] = _Rank()
         known.arrivals += sampling_key < known.width()
 
+    def record_outcome(self, failed: bool) -> None:
+        """Record whether the server refused or failed a request."""
+        self._n_successes = 0 if failed else self._n_successes + 1
+
     def is_due(self, now: Milliseconds) -> bool:
         """Whether the coverage has to be computed again."""
         return now - self._updated_at >= _UPDATE_MS
@@ -119,6 +128,8 @@
         smoothing = _FAILING_MS if is_noise else _FAST_FAILING_MS
         weight = 1.0 - math.exp(-elapsed / smoothing)
         self._failing += (failing - self._failing) * weight
+        if self._n_successes >= _RECOVERED_AFTER:
+            self._failing = 0.0
         demands = {rank: known.demand() for rank, known in self._ranks.items()}
         for rank in [r for r, demand in demands.items() if demand < _MIN_DEMAND]:
             del self._ranks[rank], demands[rank]
--- a/packages/fuchsiagap/src/fuchsiagap/core/retries/tree_coverage.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/retries/tree_coverage.py
@@ -81,8 +81,10 @@
 
         Parameters
         ----------
-        service, kind : str
-            Service and kind of the request.
+        service : str
+            Service of the request.
+        kind : str
+            Kind of the request.
         covered_keys : int
             Number of lowest sampling keys whose call trees are covered.
         now : float
@@ -122,8 +124,10 @@
 
         Parameters
         ----------
-        service, kind : str
-            Service and kind of the requests.
+        service : str
+            Service of the requests.
+        kind : str
+            Kind of the requests.
         guaranteed : float
             Share that is admitted at least. Its replies show when coverage recovers.
         now : float
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_health.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_health.py
@@ -30,5 +30,8 @@
         self.assertAlmostEqual(0.5, health.failing(400.0), delta=0.1)
         self.assertLess(health.failing(20_000.0), 0.01)
         health.record_outcome(True, 20_000.0)
+        health.record_response(True, 20_000.0)
+        self.assertGreater(health.refusing(20_000.0), 0.0)
         health.forget_failures()
         self.assertEqual(0.0, health.failing(20_000.0))
+        self.assertEqual(0.0, health.refusing(20_000.0))
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/placement/test_choice.py
@@ -127,6 +127,12 @@
         targets = (a_target("a", failing=1.0), a_target("b"))
         self.assertAlmostEqual(0.75, service_failure_load(targets))
 
+    def test_failures_that_the_retry_budget_covers_are_no_load(self):
+        # Entry nodes that refuse for them as well would refuse covered call trees.
+        target = a_target("a", failing=0.6, refusing=0.5, speed=100, offered=9.0)
+        self.assertEqual(0.0, service_failure_load((target,)))
+        self.assertAlmostEqual(1.0, service_fullness((target,)))
+
     def test_failures_are_weighted_by_offered_load(self):
         targets = (a_target("a", failing=1.0), a_target("b", offered=9.0))
         self.assertLess(service_failure_load(targets), 0.05)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/retries/call_tree_fleet.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/retries/call_tree_fleet.py
@@ -136,6 +136,7 @@
             arrivals += 1
             is_refused = self.rng.random() < self.refusing
             queue.health.record_outcome(is_refused, self.at)
+            budget.record_outcome(is_refused)
             if not is_refused:
                 if n_left == 1:
                     end(True)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/retries/test_tree_coverage.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/retries/test_tree_coverage.py
@@ -119,6 +119,15 @@
         self.assertAlmostEqual(100, min(seen[150:]), delta=8)
         self.assertAlmostEqual(100, max(seen[150:]), delta=8)
 
+    def test_coverage_recovers_soon_after_the_refusals_end(self):
+        # Few requests are admitted then, and the mean failure rate falls slowly.
+        coverage = RankCoverage(0.0)
+        for now in range(0, 9_000, 100):
+            coverage.record_arrival(1, 0)
+            coverage.record_outcome(now < 6_000)
+            coverage.update(now, 0.5, 0.0)
+        self.assertEqual(N_SAMPLING_KEYS, coverage.covered_keys(1))
+
     def test_each_rank_keeps_a_part_of_an_even_split(self):
         shares = covered_shares({0: 80.0, 1: 10.0, 2: 10.0}, 40.0)
         self.assertAlmostEqual(GUARANTEED_PART * 0.4, shares[2])
