--- a/packages/fuchsiagap/src/fuchsiagap/core/retries/rank_coverage.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/retries/rank_coverage.py
@@ -40,7 +40,7 @@
 # Highest failure rate for which retries are planned.
 _MAX_FAILING = 0.95
 # Milliseconds between two computations.
-_UPDATE_MS = 100.0
+_UPDATE_MS = 50.0
 # Demand, in calls per millisecond, below which a rank is dropped.
 _MIN_DEMAND = 1e-5
 
