--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/retries/test_tree_coverage.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/retries/test_tree_coverage.py
@@ -18,9 +18,9 @@
 from fuchsiagap.tests.core.retries.test_backend_budget import between, max_excess
 
 REFUSING = 0.55
-# Seconds at which the servers begin to refuse, and of the measurement, which lasts until
-# the requests before the onset permit no more retries: entry nodes need up to a second
-# to learn of the refusals.
+# Seconds at which the servers begin to refuse, and of the measurement. Entry nodes need
+# up to a second to learn of the refusals; after ten, the requests before the onset
+# permit no more retries.
 ONSET = 20
 MEASURED = ONSET + 1, ONSET + 10
 # Half of that time, in which the requests before the onset permit an even rate.
