Admit idempotent requests beyond the coverage of retry budgets, without retries

A request that may be repeated loses little by a failure.

Coverage ends as soon as no reachable server fails more often than the budget repairs, since replies of the few admitted trees show that seconds late. Caution of admission by rate after a start and after a silence of replies are separate conditions.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from fuchsiagap.core.retries.tree_coverage import n_admitted_keys
 from fuchsiagap_node.core.mesh.final_response import (
     DEFAULT_RETRY_AFTER_MS,
     FinalResponse,
@@ -156,8 +155,10 @@
     ) -> Placement | None:
         """Apply admission control to a new request and start its placement."""
         service = self._rotation.pick(route)
-        covered = self._context.coverage.share(service, route)
-        refusal = self._refusal(req, route, service, caller_credit, covered, workspace)
+        covered = self._context.coverage.admission(service, route)
+        refusal = self._refusal(
+            req, route, service, caller_credit, covered.share, workspace
+        )
         if refusal is not None:
             done(refusal)
             return None
@@ -170,7 +171,7 @@
             done,
             workspace,
             waited,
-            n_admitted_keys(covered),
+            covered,
         )
         placement.start()
         return placement
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -171,7 +171,12 @@
         self._route_loads = RouteLoads(self._peers, clock)
         downstream_fullness = self._route_loads.downstream_fullness
         self._coverage = RouteCoverage(
-            self._contention_scope, self._route_loads, clock, event_log
+            self._contention_scope,
+            self._peers,
+            lambda: self.cfg.budget.ratio,
+            self._route_loads,
+            clock,
+            event_log,
         )
         self._local_peer = LocalPeer(
             cfg.node,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.quarantine.fingerprint import fingerprint
-from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
+from fuchsiagap.core.retries.tree_coverage import ALL_ADMITTED, CoveredAdmission
 from fuchsiagap_node.core.mesh.event_log import SAMPLE_ANSWERED
 from fuchsiagap_node.core.mesh.final_response import (
     DEFAULT_RETRY_AFTER_MS,
@@ -92,8 +92,8 @@
         Workspace of the caller.
     waited : float, default=0
         Milliseconds for which it has already waited at this node.
-    n_keys : int, default=N_SAMPLING_KEYS
-        Number of lowest sampling keys from which that of its call tree is drawn.
+    covered : CoveredAdmission, default=ALL_ADMITTED
+        Sampling keys that the retry budgets cover, for a request from a caller.
 
     Attributes
     ----------
@@ -139,7 +139,7 @@
         done: OnFinalResponse,
         workspace: Workspace | None = None,
         waited: Milliseconds = 0.0,
-        n_keys: int = N_SAMPLING_KEYS,
+        covered: CoveredAdmission = ALL_ADMITTED,
     ) -> None:
         self._workspace = workspace
         self._context = context
@@ -158,7 +158,7 @@
             req.method, req.host, req.target, req.identity, req.body
         )
         self._sampling_key = (
-            context.draw_sampling_key(n_keys)
+            context.draw_sampling_key(covered)
             if parent is None
             else parent.call.sampling_key
         )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
@@ -7,7 +7,7 @@
 
 from fuchsiagap.core.placement.choice import choose, remote_penalty
 from fuchsiagap.core.placement.limit_probes import LimitProbes
-from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
+from fuchsiagap.core.retries.tree_coverage import ALL_ADMITTED, CoveredAdmission
 from fuchsiagap.core.shedding.served import ServedShares
 
 if TYPE_CHECKING:
@@ -171,7 +171,7 @@
         """Return a call number that is unique in this process."""
         return next(self._ids)
 
-    def draw_sampling_key(self, n_keys: int = N_SAMPLING_KEYS) -> int:
+    def draw_sampling_key(self, admission: CoveredAdmission = ALL_ADMITTED) -> int:
         """Draw the sampling key of a call tree.
 
         Where the retry budget does not cover all call trees, those with the smallest
@@ -179,7 +179,7 @@
 
         Parameters
         ----------
-        n_keys : int, default=N_SAMPLING_KEYS
-            Number of lowest keys to draw from.
+        admission : CoveredAdmission, default=ALL_ADMITTED
+            Keys from which it is drawn.
         """
-        return self._rng.randrange(n_keys)
+        return admission.sampling_key(self._rng.randrange)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
@@ -30,7 +30,7 @@
 MAX_CORRECTED = 1.6
 # Requests per second from which the load that a node sees after its start may be part
 # of a peak.
-BUSY_PER_S = 6.0
+BUSY_PER_S = 8.0
 # Milliseconds after the start of a process in which other nodes may have started with
 # it, and fullness below which a service counts as idle.
 YOUNG_MS = 5_000.0
@@ -74,8 +74,8 @@
         self._cautious: set[Target] = set()
         self._has_restarted = has_restarted
         self._age_ms = 0.0
-        # Fullness as last reported; None if that is out of date.
-        self._reported: dict[Target, float | None] = {}
+        # Fullness as last reported.
+        self._reported: dict[Target, float] = {}
         # Milliseconds since a target was last limited.
         self._limited: dict[Target, Milliseconds] = {}
         self._out_of_scope_ms = math.inf
@@ -129,8 +129,7 @@
             service, kind = target
             fullness = self._route_loads.fullness(service, routes[kind])
             age = self._route_loads.reply_age(service, routes[kind])
-            is_silent = STALE_MS < age < math.inf
-            self._reported[target] = None if is_silent else fullness
+            self._reported[target] = fullness
             self.room.observe(target, fullness, age, elapsed)
             self._convert_cut(target, controller, in_scope)
         if not in_scope:
@@ -208,18 +207,21 @@
 
     def _has_free_capacity(self, target: Target) -> bool:
         """Whether a service has been far from full, now and in the last seconds."""
-        fullness = self._reported.get(target)
-        if fullness is None:
+        if self.room.age(target) > STALE_MS:
             return False
+        fullness = self._reported.get(target, 0.0)
         return max(fullness, self.room.fullness(target)) < FREE_FULLNESS
 
     def _is_cautious(self, target: Target) -> bool:
-        """Whether a node without an estimate admits less than what is requested.
+        """Whether a node admits less than what is requested, without an estimate.
 
-        It does so if a service is reported to be full or its replies have ceased, and
-        after a restart if a service is idle, since all nodes may have restarted then. A
-        node that starts beside others in a calm deployment refuses nothing.
+        It does so where replies have ceased or have just returned, and after its start
+        if a service is reported to be full, or is idle after a restart, since all nodes
+        may have restarted then. A node that starts beside others in a calm deployment
+        refuses nothing.
         """
+        if self.room.is_resuming(target):
+            return True
         if not self.room.is_starting(target):
             self._cautious.discard(target)
             return False
@@ -229,11 +231,7 @@
             and self._age_ms < YOUNG_MS
             and self.room.requests_since_start_per_s() >= BUSY_PER_S
         )
-        if (
-            fullness is None
-            or fullness >= CAUTIOUS_FULLNESS
-            or (is_new and fullness < IDLE_FULLNESS)
-        ):
+        if fullness >= CAUTIOUS_FULLNESS or (is_new and fullness < IDLE_FULLNESS):
             self._cautious.add(target)
         return target in self._cautious
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_coverage.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/route_coverage.py
@@ -5,11 +5,16 @@
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
-from fuchsiagap.core.retries.tree_coverage import TreeCoverage
+from fuchsiagap.core.retries.tree_coverage import (
+    ALL_ADMITTED,
+    CoveredAdmission,
+    TreeCoverage,
+    n_admitted_keys,
+)
 from fuchsiagap.core.shedding.allocation import MIN_GUARANTEED_SHARE
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from fuchsiagap.core.clock import Clock
     from fuchsiagap.core.placement.choice import Target
@@ -17,6 +22,7 @@
     from fuchsiagap_node.core.mesh.contention_scope import ContentionScope
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.messages import DownstreamSummary
+    from fuchsiagap_node.core.mesh.peers import Peers
     from fuchsiagap_node.core.mesh.route_loads import RouteLoads
 
 # Milliseconds between two steps.
@@ -30,6 +36,10 @@
     ----------
     scope : ContentionScope
         Outside of it, all call trees count as covered.
+    peers : Peers
+        Backend servers and their failures.
+    retry_ratio : callable
+        Returns the retries per request that the budget allows.
     route_loads : RouteLoads
         Nested calls that the requests of a route make.
     clock : Clock
@@ -46,11 +56,16 @@
     def __init__(
         self,
         scope: ContentionScope,
+        peers: Peers,
+        retry_ratio: Callable[[], float],
         route_loads: RouteLoads,
         clock: Clock,
         event_log: EventLog,
     ) -> None:
         self._scope = scope
+        self._peers = peers
+        self._retry_ratio = retry_ratio
+        self._is_in_force = False
         self._route_loads = route_loads
         self._clock = clock
         self._event_log = event_log
@@ -61,6 +76,9 @@
     def step(self) -> None:
         """Update the scope, and log where the coverage begins or stops to restrict."""
         self.is_in_scope = self._scope.applies()
+        was_in_force, self._is_in_force = self._is_in_force, self._has_failures()
+        if was_in_force and not self._is_in_force:
+            self._coverage.forget()
         now = self._clock.now()
         known = {
             (service, kind): share
@@ -79,25 +97,51 @@
             )
         self._restricted = restricted
 
+    def _has_failures(self) -> bool:
+        """Whether any reachable server fails more often than the budget repairs.
+
+        Servers report it at once. Replies of the few call trees that are admitted would
+        show seconds later that the failures have ended.
+        """
+        ratio = self._retry_ratio()
+        repairable = ratio / (1.0 + ratio)
+        return self.is_in_scope and any(
+            target.failing > repairable for target in self._peers.reached()
+        )
+
     def record_sent(self, service: str, route: str, rank: int) -> None:
         """Record that a call was sent.
 
         Parameters
         ----------
-        service, route : str
-            Service and route of the call.
+        service : str
+            Service of the call.
+        route : str
+            Route of the call.
         rank : int
             Priority rank of the root request of its call tree.
         """
-        if self.is_in_scope:
+        if self._is_in_force:
             self._coverage.record_sent(service, _kind(route, rank), self._clock.now())
 
     def record_reply(
         self, target: Target, route: str, rank: int, below: DownstreamSummary
     ) -> None:
-        """Update a route from the summary in a reply."""
+        """Update a route from the summary in a reply.
+
+        Parameters
+        ----------
+        target : Target
+            Server to which the call was sent.
+        route : str
+            Route of the call.
+        rank : int
+            Priority rank of the root request of its call tree.
+        below : DownstreamSummary
+            Summary in the reply.
+        """
         keys = below.covered_keys
-        if not self.is_in_scope:
+        if not self._is_in_force:
             return
         kind = _kind(route, rank)
         self._coverage.record(target.service, kind, keys, self._clock.now())
@@ -112,7 +156,7 @@
         rank : int
             Priority rank of the root requests of their call trees.
         """
-        if not self.is_in_scope:
+        if not self._is_in_force:
             return N_SAMPLING_KEYS
         now = self._clock.now()
         keys = (
@@ -121,23 +165,36 @@
         )
         return round(min(keys, default=float(N_SAMPLING_KEYS)))
 
-    def share(self, service: str, route: Route) -> float:
-        """Return the share of a route's new requests that coverage lets in.
+    def admission(self, service: str, route: Route) -> CoveredAdmission:
+        """Return how many of a route's new requests are admitted, and with which keys.
+
+        Idempotent requests are all admitted: they may be repeated if they fail, some
+        succeed without retries, and their calls earn retries for the more important
+        requests. If they were refused too, the budget would shrink with its use: in
+        three windows of refusals, a tenth as many call trees complete.
+
+        Requests that make no calls are admitted as well. One that is refused by the
+        server has done no work, and without any retry more of them are answered than
+        the budget covers.
 
-        Requests that make no calls are all let in. One that is refused by the server
-        has done no work, and without any retry more of them are answered than the
-        budget covers.
+        Parameters
+        ----------
+        service : str
+            Service of the requests.
+        route : Route
+            Their route.
         """
-        if not self.is_in_scope:
-            return 1.0
-        if not self._route_loads.makes_calls(service, route.name):
-            return 1.0
-        return self._coverage.share(
-            service,
-            _kind(route.name, route.priority),
-            MIN_GUARANTEED_SHARE,
-            self._clock.now(),
-        )
+        if not self._is_in_force or not self._route_loads.makes_calls(
+            service, route.name
+        ):
+            return ALL_ADMITTED
+        now = self._clock.now()
+        kind = _kind(route.name, route.priority)
+        if route.idempotent:
+            keys = round(self._coverage.covered_keys(service, kind, now))
+            return CoveredAdmission(1.0, covered_keys=keys)
+        share = self._coverage.share(service, kind, MIN_GUARANTEED_SHARE, now)
+        return CoveredAdmission(share, n_admitted_keys(share))
 
     def shares(self) -> Iterator[tuple[str, str, float]]:
         """Yield service, route with rank, and covered share, as far as known."""
--- a/packages/fuchsiagap/src/fuchsiagap/core/retries/tree_coverage.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/retries/tree_coverage.py
@@ -9,7 +9,7 @@
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from fuchsiagap.core.clock import Milliseconds
 
@@ -28,6 +28,35 @@
 _EXPIRY_MS = _IDLE_HOLD_MS + 8.0 * _RECOVERY_MS
 
 
+@dataclass(frozen=True, slots=True)
+class CoveredAdmission:
+    """Which requests of a kind are admitted, and which of these are retried.
+
+    Parameters
+    ----------
+    share : float
+        Share of the requests that is admitted.
+    n_keys : int, default=N_SAMPLING_KEYS
+        Number of lowest sampling keys from which an admitted request draws its own.
+    covered_keys : int, default=N_SAMPLING_KEYS
+        Number of lowest keys that are covered. A request that draws another one gets
+        the highest, so that no retries are spent on it while coverage changes.
+    """
+
+    share: float
+    n_keys: int = N_SAMPLING_KEYS
+    covered_keys: int = N_SAMPLING_KEYS
+
+    def sampling_key(self, draw: Callable[[int], int]) -> int:
+        """Return a key, given a function that draws a number below another one."""
+        key = draw(self.n_keys)
+        return key if key < self.covered_keys else N_SAMPLING_KEYS - 1
+
+
+# Admission of requests whose call trees are all covered.
+ALL_ADMITTED = CoveredAdmission(1.0)
+
+
 @dataclass(slots=True)
 class _Coverage:
     """Coverage of the requests of one kind.
@@ -74,6 +103,10 @@
     def __init__(self) -> None:
         self._known: dict[tuple[str, str], _Coverage] = {}
 
+    def forget(self) -> None:
+        """Return to full coverage of all kinds."""
+        self._known.clear()
+
     def record(
         self, service: str, kind: str, covered_keys: int, now: Milliseconds
     ) -> None:
@@ -81,8 +114,10 @@
 
         Parameters
         ----------
-        service, kind : str
-            Service and kind of the request.
+        service : str
+            Service of the request.
+        kind : str
+            Kind of the request.
         covered_keys : int
             Number of lowest sampling keys whose call trees are covered.
         now : float
@@ -122,8 +157,10 @@
 
         Parameters
         ----------
-        service, kind : str
-            Service and kind of the requests.
+        service : str
+            Service of the requests.
+        kind : str
+            Kind of the requests.
         guaranteed : float
             Share that is admitted at least. Its replies show when coverage recovers.
         now : float
--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
@@ -58,7 +58,7 @@
 # use its part of the capacity.
 RESUME_MS = 1_000.0
 # Requests from which their rate is known.
-_MIN_REQUESTS = 3
+_MIN_REQUESTS = 2
 # Fullness up to which a report is taken as it is. A higher one contains the backlog of
 # an earlier excess, and counts only as far as the load admitted here explains it:
 # otherwise a queue that lasts for a second would lower the room by a third for 4 s.
@@ -265,13 +265,17 @@
         if self._unanswered.get(target, 0) >= MIN_UNANSWERED:
             self._resuming_ms[target] = RESUME_MS
 
-    def is_starting(self, target: Target) -> bool:
-        """Whether the node has to be cautious, after its start or in a failure."""
+    def is_resuming(self, target: Target) -> bool:
+        """Whether replies have ceased for seconds, or have just returned."""
         if target in self._resuming_ms:
             return True
-        age = self.age(target)
-        if STALE_MS < age < math.inf:
-            return self._unanswered.get(target, 0) >= MIN_UNANSWERED
+        return (
+            STALE_MS < self.age(target) < math.inf
+            and self._unanswered.get(target, 0) >= MIN_UNANSWERED
+        )
+
+    def is_starting(self, target: Target) -> bool:
+        """Whether a node that has just started has no estimate yet."""
         estimate = self._estimates.get(target)
         is_new = estimate is None or estimate.observed_ms < MIN_OBSERVED_MS
         return is_new and self._traffic_ms < START_MS
@@ -316,7 +320,7 @@
         return total / self._mean_weight if self._mean_weight else 0.0
 
     def requests_since_start_per_s(self) -> float:
-        """Return the mean rate of requests since the first; 0 for less than three."""
+        """Return the mean rate of requests since the first; 0 for less than two."""
         if self._n_requests < _MIN_REQUESTS or not self._traffic_ms:
             return 0.0
         return self._n_requests / self._traffic_ms * MS_PER_S
