--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
@@ -57,12 +57,18 @@
 # cautious: what it admitted during the failure has reached no service, and other nodes
 # use its part of the capacity.
 RESUME_MS = 1_000.0
+# Lower bound of a room by which a load is divided, in calls per millisecond.
+_MIN_ROOM = 1e-9
 # Requests from which their rate is known.
 _MIN_REQUESTS = 2
 # Fullness up to which a report is taken as it is. A higher one contains the backlog of
 # an earlier excess, and counts only as far as the load admitted here explains it:
 # otherwise a queue that lasts for a second would lower the room by a third for 4 s.
 MAX_FULLNESS = 1.3
+# Milliseconds of a fullness above `PERSISTENT_FULLNESS` after which it is taken as it is:
+# it then shows a loss of capacity and not the queue of an earlier excess.
+PERSISTENT_MS = 1_000.0
+PERSISTENT_FULLNESS = 2.0
 # Fullness below which a service counts as idle, so that its room is unlimited.
 MIN_FULLNESS = 0.02
 
@@ -81,6 +87,8 @@
         Milliseconds observed.
     fast_load, fast_fullness : float
         Sums like `load` and `fullness` with the time constant `FAST_MS`.
+    excess_ms : float
+        Milliseconds for which the fullness has been above `PERSISTENT_FULLNESS`.
     """
 
     load: float = 0.0
@@ -89,10 +97,19 @@
     observed_ms: Milliseconds = 0.0
     fast_load: float = 0.0
     fast_fullness: float = 0.0
+    excess_ms: Milliseconds = 0.0
 
     def add(self, load: float, fullness: float, elapsed: Milliseconds) -> None:
         """Add a load and a fullness that lasted for a time."""
-        weight = _weight(elapsed, AVERAGING_MS)
+        is_excess = fullness > PERSISTENT_FULLNESS
+        self.excess_ms = self.excess_ms + elapsed if is_excess else 0.0
+        averaging = AVERAGING_MS
+        if self.excess_ms >= PERSISTENT_MS:
+            averaging = FAST_MS
+        else:
+            explained = load / max(self.room(), _MIN_ROOM)
+            fullness = min(fullness, max(explained, MAX_FULLNESS))
+        weight = _weight(elapsed, averaging)
         self.load += (load - self.load) * weight
         self.fullness += (fullness - self.fullness) * weight
         self.weight += (1.0 - self.weight) * weight
@@ -253,8 +270,7 @@
             return
         lagged = sum(kind.lagged * kind.load for kind in self._kinds.values())
         estimate = self._estimates.setdefault(target, _Estimate())
-        explained = max(lagged / max(estimate.room(), 1e-9), MAX_FULLNESS)
-        estimate.add(lagged, min(fullness, explained), elapsed)
+        estimate.add(lagged, fullness, elapsed)
         if target[1] in self._kinds:
             self._kinds[target[1]].observed_ms = estimate.observed_ms
 
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/shedding/test_room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/shedding/test_room.py
@@ -34,6 +34,14 @@
         observe(room, 5, 10, 2.5)
         self.assertGreater(room.room(TARGET), 0.93 * before)
 
+    def test_lasting_excess_lowers_the_room(self):
+        # Two of four servers were lost, and the reported fullness stayed at 3 to 4 for
+        # five seconds while the room fell by a quarter: most admitted trees timed out.
+        room = observe(Room(), 100, 10, 0.9)
+        before = room.room(TARGET)
+        observe(room, 30, 10, 3.5)
+        self.assertLess(room.room(TARGET), 0.5 * before)
+
     def test_room_is_kept_without_replies_until_it_is_stale(self):
         room = observe(Room(), 100, 10, 0.5)
         before = room.room(TARGET)
