--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
@@ -65,8 +65,8 @@
 # an earlier excess, and counts only as far as the load admitted here explains it:
 # otherwise a queue that lasts for a second would lower the room by a third for 4 s.
 MAX_FULLNESS = 1.3
-# Milliseconds of a fullness above `PERSISTENT_FULLNESS` after which it is taken as it is:
-# it then shows a loss of capacity and not the queue of an earlier excess.
+# Milliseconds of a fullness above `PERSISTENT_FULLNESS` after which it is taken as it
+# is: it then shows a loss of capacity and not the queue of an earlier excess.
 PERSISTENT_MS = 1_000.0
 PERSISTENT_FULLNESS = 2.0
 # Fullness below which a service counts as idle, so that its room is unlimited.
