Remove the rate of requests by kind from the estimate of room

Cause: it was provided for the return of refused callers, which is not built; nothing but its test used it. Result: tests of the estimate and of its scenarios pass.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
@@ -235,26 +235,6 @@
             self._cautious.add(target)
         return target in self._cautious
 
-    def requests_per_s(self, target: Target, share: float) -> float:
-        """Return the requests of a kind that may be admitted now in each second.
-
-        Parameters
-        ----------
-        target : tuple of (str, str)
-            Service and kind of the requests.
-        share : float
-            Share of the kind that is admitted now.
-
-        Returns
-        -------
-        float
-            Requests per second; infinity without an estimate.
-        """
-        bucket = self._buckets.get(target)
-        if bucket is None:
-            return math.inf
-        return self.room.requests_per_s(target[1], bucket.rate, share)
-
     def rooms(self) -> Iterator[tuple[str, str, float]]:
         """Yield service, kind and estimated room, in calls per second."""
         for service, kind in sorted(self._buckets):
--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
@@ -341,32 +341,6 @@
             return 0.0
         return self._n_requests / self._traffic_ms * MS_PER_S
 
-    def requests_per_s(self, kind: str, rate: float, share: float) -> float:
-        """Return the requests of a kind that may be admitted now in each second.
-
-        Parameters
-        ----------
-        kind : str
-            The kind.
-        rate : float
-            Admitted rate of all kinds in calls per millisecond, usually `room` or a
-            share of it.
-        share : float
-            Share of the kind's requests that is admitted now.
-
-        Returns
-        -------
-        float
-            The admitted requests of the kind and, unless it is shed, those that the
-            rest of the rate has room for.
-        """
-        known = self._kinds.get(kind)
-        if known is None or not self._demand_weight:
-            return math.inf
-        own = share * known.demand / self._demand_weight
-        unused = max(rate - self.demand(), 0.0) if share >= 1.0 else 0.0
-        return (own + unused / known.load) * MS_PER_S
-
     def largest_load(self) -> float:
         """Return the load of one request of the heaviest kind."""
         return max((kind.load for kind in self._kinds.values()), default=1.0)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/shedding/test_room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/shedding/test_room.py
@@ -68,12 +68,6 @@
         self.assertEqual(0.0, observe(Room(), 1, 1, 0.0).requests_since_start_per_s())
         self.assertEqual(20.0, observe(Room(), 5, 2, 0.0).requests_since_start_per_s())
 
-    def test_requests_per_second_are_the_admitted_ones_and_what_is_left(self):
-        room = observe(Room(), 100, 10, 0.5)
-        self.assertAlmostEqual(40.0, room.requests_per_s("read", 0.0, 0.4), delta=0.1)
-        # The demand is 0.2 calls per millisecond.
-        self.assertAlmostEqual(150.0, room.requests_per_s("read", 0.3, 1.0), delta=0.1)
-
 
 class TestRateAdmission(TestCase):
     def _admitted(self, bucket, demand, n_steps, room=0.2):
