--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/rate_limits.py
@@ -27,7 +27,7 @@
 _UNLIMITED_MS = 2_000.0
 # Fullness by which a controller corrects the admitted rate at most. A higher one is
 # mostly the backlog of an excess that is over when it is known here.
-MAX_CORRECTED = 2.5
+MAX_CORRECTED = 1.6
 # Requests per second from which the load that a node sees after its start may be part
 # of a peak.
 BUSY_PER_S = 8.0
--- a/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/shedding/room.py
@@ -68,7 +68,7 @@
 # Milliseconds of a fullness above `PERSISTENT_FULLNESS` after which it is taken as it
 # is: it then shows a loss of capacity and not the queue of an earlier excess.
 PERSISTENT_MS = 1_000.0
-PERSISTENT_FULLNESS = 1.7
+PERSISTENT_FULLNESS = 2.0
 # Fullness below which a service counts as idle, so that its room is unlimited.
 MIN_FULLNESS = 0.02
 
