--- a/review/2/case.py
+++ b/review/2/case.py
@@ -40,7 +40,9 @@
 MEMORY_BYTES = 300 * 1024 * 1024
 MEMORY_CHECK_S = 0.01
 RESTART_S = 0.5
-LENGTH_S = 75.0
+LENGTH_S = 70.0
+# Seconds since the start of the script after which no more requests are sent.
+LATEST_S = 95.0
 MAX_ENDS = 3
 
 
@@ -109,7 +111,7 @@
         tasks = [asyncio.create_task(supervise(machine)) for machine in machines]
         tasks += [asyncio.create_task(others(machine)) for machine in machines]
         tasks += [asyncio.create_task(upload(machines[n])) for n in UPLOADERS]
-        until = record.now() + LENGTH_S
+        until = min(record.now() + LENGTH_S, LATEST_S)
         while record.now() < until:
             await asyncio.sleep(0.2)
             if sum(n >= MAX_ENDS for n in ends.values()) >= len(UPLOADERS):
