--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,7 +51,9 @@
 N_EXTRA, EXTRA_SHARE, EXTRA_S = 2, 0.03, 5.0
 COPIED_REFUSALS = 0.15
 PAUSE_S = 0.5
-LENGTH_S = 85.0
+LENGTH_S = 80.0
+# Seconds since the start of the script after which no more requests are sent.
+LATEST_S = 100.0
 # A client retries once after a refusal, on a new connection with a new id.
 RETRY_STATUSES = ("408", "421", "429", "503")
 
@@ -146,7 +148,7 @@
         disruptions = [asyncio.create_task(d()) for d in (shed, add)] if trouble else []
         sends = set()
         sent: Counter[Kind] = Counter()
-        while (now := record.now() - started) < LENGTH_S:
+        while (now := record.now() - started) < LENGTH_S and record.now() < LATEST_S:
             for kind in KINDS:
                 while sent[kind] < now * kind.per_s:
                     sends.add(asyncio.create_task(send(kind)))
