Log why a report of a backend server was ignored, and revoked departures

The record of the incident has no line from which it follows whether a departure was applied, ignored, revoked or forgotten. Now: report-ignored has the state, start and sequence of the report and of the current incarnation; backend-changed has the state before (null: first report of this process) and the uptime of the node; and departure-revoked is written when a departed server is used again without a later start, which explain also lists.

--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
@@ -27,6 +27,7 @@
         "backend-unreachable",
         "config-adopted",
         "coverage-changed",
+        "departure-revoked",
         "ending",
         "fault",
         "link-down",
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -120,6 +120,7 @@
         self.reports = CrashReports(cfg.quarantine, cfg.service, clock, rng, event_log)
         self.retry_budget = QueueRetryBudget(cfg.budget, clock, event_log, rng)
         self._clock = clock
+        self._started_at = clock.now()
         self._event_log = event_log
         self._queue: RankedQueue[PendingCall] = RankedQueue(1)
         self._offered = OfferedLoad()
@@ -306,7 +307,7 @@
         """Apply a status report of the backend server, unless it is outdated."""
         old = self._incarnation.report
         if not self._incarnation.update(report):
-            self._event_log.event("report-ignored", instance=report.instance)
+            self._log_ignored(report)
             return
         self._apply_state(report)
         same = old is not None and old.is_same_start(report)
@@ -322,11 +323,36 @@
             state=report.state.value,
             sequence=report.sequence,
             places=report.slots,
+            previous=None if old is None else f"{old.instance} {old.state.value}",
+            uptime=round(self._clock.now() - self._started_at),
         )
+        if old is not None and _is_revoked(old, report):
+            self._event_log.event(
+                "departure-revoked",
+                instance=report.instance,
+                born=report.born,
+                departed_born=old.born,
+                sequence=report.sequence,
+            )
         if report.state is not BackendState.READY:
             self.reject_waiting(LEAVING)
         self.changed()
 
+    def _log_ignored(self, report: BackendReport) -> None:
+        """Write an event for a report without effect, and what is known instead."""
+        current = self._incarnation.report
+        self._event_log.event(
+            "report-ignored",
+            instance=report.instance,
+            born=report.born,
+            state=report.state.value,
+            sequence=report.sequence,
+            current=None if current is None else current.instance,
+            current_born=None if current is None else current.born,
+            current_state=None if current is None else current.state.value,
+            current_sequence=None if current is None else current.sequence,
+        )
+
     def _reset_for_incarnation(
         self, old: BackendReport | None, report: BackendReport
     ) -> None:
@@ -653,5 +679,13 @@
     return load.running < load.slots and not load.waiting
 
 
+def _is_revoked(old: BackendReport, report: BackendReport) -> bool:
+    """Whether a report makes a departed server ready again without a later start."""
+    if old.instance != report.instance or old.state is BackendState.READY:
+        return False
+    is_later = None not in (old.born, report.born) and old.born < report.born  # type: ignore[operator]
+    return report.state is BackendState.READY and not is_later
+
+
 def _nothing() -> None:
     """Ignore a change of the server's status."""
