Tests that fail: a restarted node uses a server that announced its departure

Four hosts under 60 requests a second, in virtual time: a server leaves (deregisters or drains), nodes are killed and started again, and a heartbeat that was sent before the departure arrives late.

The last heartbeat is enough: each response keeps the server alive without heartbeats, until it ends. The stand-in of a host keeps over a restart of its node whether the server announced its departure, and the start time of its reports.

--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -0,0 +1,182 @@
+"""Backend servers that announced their departure, and nodes that restart meanwhile."""
+
+import itertools
+import random
+from functools import partial
+
+import trio
+from testtools import TestCase
+
+from fuchsiagap.core.backend_queue.incarnation import BackendState
+from fuchsiagap_node.core.mesh.stream import BrokenStream
+from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
+from fuchsiagap_standins.mesh.virtual import run_in_memory
+
+DATA_CENTRES = ("hall-a", "hall-b", "hall-c")
+# Seconds after the acknowledgement of a departure from which no request may arrive.
+DRAIN_S = 2.0
+REQUESTS_PER_S = 60.0
+GONE, DRAINING = BackendState.GONE, BackendState.DRAINING
+
+
+class Play:
+    """Hosts under load, of which the first one's server leaves.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment.
+    n_hosts : int
+        Number of hosts.
+    """
+
+    def __init__(self, deployment, n_hosts=4):
+        self.deployment = deployment
+        self.hosts = [
+            deployment.add("certs", DATA_CENTRES[n % 3], slots=30)
+            for n in range(n_hosts)
+        ]
+        self.left_at = float("inf")
+        self.late = None
+        self.arrivals = []
+        self.statuses = []
+
+    @property
+    def leaving(self):
+        """Host of the server that leaves."""
+        return self.hosts[0]
+
+    def leave(self, state):
+        """Announce the departure; a heartbeat sent before is still on its way."""
+        server = self.leaving.server
+        self.late = self.leaving.next_report()
+        self.leaving.report(state)
+        self.left_at = trio.current_time()
+        server.behave = self._record(server.behave)
+
+    def _record(self, behave):
+        def record(req):
+            self.arrivals.append(trio.current_time() - self.left_at)
+            return behave(req)
+
+        return record
+
+    def deliver_late_heartbeat(self):
+        """Deliver the delayed heartbeat to the node that runs now."""
+        self.leaving.node.backend_queue.handle_report(self.late)
+
+    def restart(self, *numbers):
+        """Kill nodes at the same time and restart them."""
+        for number in numbers:
+            self.hosts[number] = self.deployment.restart(self.hosts[number])
+
+    async def send_load(self, seconds):
+        """Send requests at a constant rate to all hosts."""
+        rng, numbers = random.Random(1), itertools.count()
+
+        async def send(host):
+            try:
+                response = await host.send("/read/1", f"r-{next(numbers)}")
+            except BrokenStream:
+                # The node of this host is down.
+                return
+            self.statuses.append(response and response.status)
+
+        async with trio.open_nursery() as nursery:
+            until = trio.current_time() + seconds
+            while trio.current_time() < until:
+                nursery.start_soon(send, rng.choice(self.hosts))
+                await trio.sleep(rng.expovariate(REQUESTS_PER_S))
+
+    def n_late_arrivals(self):
+        """Return the number of requests that reached the server too late."""
+        return sum(age > DRAIN_S for age in self.arrivals)
+
+
+def play(during, n_hosts=4, seconds=12.0, seed=0, born=None):
+    """Run load, and `during(play)` after 1 s of it; return the play."""
+
+    async def main():
+        async with a_deployment(a_route("read")) as deployment:
+            deployment.first_seed = seed * 100
+            departures = Play(deployment, n_hosts)
+            for host in departures.hosts:
+                host.born = born
+            await deployment.settle()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(departures.send_load, seconds)
+                await trio.sleep(1.0)
+                await during(departures)
+            return departures
+
+    return run_in_memory(main, seed)
+
+
+async def restart_at_random(rng, departures):
+    """Let the first server leave, then restart nodes around late heartbeats."""
+    departures.leave(rng.choice((GONE, DRAINING)))
+    n_late = 0
+    for _ in range(rng.randint(1, 4)):
+        await trio.sleep(rng.uniform(0.02, 1.5))
+        # The last node knows of the departure and goes on running.
+        departures.restart(*rng.sample(range(3), rng.randint(1, 2)))
+        if n_late < 2 and rng.random() < 0.7:
+            n_late += 1
+            await trio.sleep(rng.uniform(0.3, 2.0))
+            departures.deliver_late_heartbeat()
+
+
+class TestDepartures(TestCase):
+    def test_node_killed_after_an_acknowledged_departure_does_not_use_the_server(self):
+        for state, born in itertools.product((GONE, DRAINING), (None, 1_000)):
+
+            async def during(departures, state=state):
+                departures.leave(state)
+                await trio.sleep(0.3)
+                departures.restart(0)
+                await trio.sleep(2.2)
+                departures.deliver_late_heartbeat()
+
+            found = play(during, born=born)
+            self.assertEqual(0, found.n_late_arrivals(), (state, born))
+
+    def test_departure_outlasts_restarts_of_all_nodes_one_after_another(self):
+        async def during(departures):
+            departures.leave(GONE)
+            for number in (1, 2, 3, 0):
+                await trio.sleep(0.7)
+                departures.restart(number)
+            await trio.sleep(1.0)
+            departures.deliver_late_heartbeat()
+
+        self.assertEqual(0, play(during).n_late_arrivals())
+
+    def test_departure_outlasts_the_loss_of_half_of_the_nodes_at_once(self):
+        async def during(departures):
+            departures.leave(GONE)
+            await trio.sleep(0.05)
+            departures.restart(0, 2, 3)
+            await trio.sleep(1.5)
+            departures.deliver_late_heartbeat()
+
+        self.assertEqual(0, play(during).n_late_arrivals())
+
+    def test_restarts_in_any_order_do_not_revoke_a_departure(self):
+        for seed in range(12):
+            during = partial(restart_at_random, random.Random(seed))
+            found = play(during, seed=seed)
+            self.assertEqual(0, found.n_late_arrivals(), seed)
+
+    def test_later_start_under_the_same_identifier_is_used_by_all_nodes(self):
+        async def during(departures):
+            departures.leave(GONE)
+            await trio.sleep(0.3)
+            departures.restart(0)
+            await trio.sleep(3.0)
+            departures.leaving.born = 2_000
+            departures.leaving.report()
+            await trio.sleep(3.0)
+            departures.arrivals.clear()
+
+        found = play(during, born=1_000)
+        self.assertGreater(len(found.arrivals), 0.1 * REQUESTS_PER_S)
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -126,8 +126,10 @@
         Cancels the node and the reports of its server.
     sequence : int
         Number of the last report.
-    state : BackendState
-        State in the last report.
+    departed : str
+        Incarnation that has announced its departure and reports no more.
+    born : int or None
+        Start time of the server in its reports.
     """
 
     node: Node
@@ -136,22 +138,26 @@
     slots: int = 8
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     sequence: int = 0
-    state: BackendState = BackendState.READY
+    departed: str = ""
+    born: int | None = None
 
     def report(self, state: BackendState = BackendState.READY) -> None:
         """Send a report of the backend server's state to the node."""
+        self.departed = "" if state is BackendState.READY else self.server.instance
+        self.node.backend_queue.handle_report(self.next_report(state))
+
+    def next_report(self, state: BackendState = BackendState.READY) -> BackendReport:
+        """Return the next report of the backend server without sending it."""
         self.sequence += 1
-        self.state = state
-        self.node.backend_queue.handle_report(
-            BackendReport(
-                self.server.instance,
-                state,
-                self.sequence,
-                self.server.address,
-                self.slots,
-                0.0,
-                self.node.cfg.service,
-            )
+        return BackendReport(
+            self.server.instance,
+            state,
+            self.sequence,
+            self.server.address,
+            self.slots,
+            0.0,
+            self.node.cfg.service,
+            self.born,
         )
 
     def kill(self) -> None:
@@ -348,7 +354,13 @@
         rng = random.Random(self.first_seed + len(self.hosts))
         node = Node(host.node.cfg, host.store, _no_reports, rng=rng)
         restarted = Host(
-            node, host.server, host.store, host.slots, sequence=host.sequence
+            node,
+            host.server,
+            host.store,
+            host.slots,
+            sequence=host.sequence,
+            departed=host.departed,
+            born=host.born,
         )
         self.hosts.append(restarted)
         self.nursery.start_soon(_run_after_restart, restarted)
@@ -393,11 +405,8 @@
 
     A server that has reported its departure sends none until its next incarnation.
     """
-    backend_queue = host.node.backend_queue
     while True:
-        is_known = backend_queue.known_instance() == host.server.instance
-        is_ready = host.state is BackendState.READY
-        if host.server.is_up and (is_ready or not is_known):
+        if host.server.is_up and host.departed != host.server.instance:
             host.report()
         await trio.sleep(1.0)
 
