Keep the departure of a server at the nodes linked to its own

What callers saw: requests reached a backend server long after the node beside it had acknowledged that the server leaves, until it ended; the last of them failed.

Cause: the departure was known to one process alone. After its end, the next process of the node believed a heartbeat that had been sent before the departure, and each response then kept the server alive without further heartbeats. The class: an acknowledgement that binds the system was kept where it does not outlast the process that gave it.

Change: a departure (a draining heartbeat or a deregistration) is sent to all linked nodes before it is acknowledged, and the acknowledgement waits until one of them has confirmed it, for 0.3 s at most. They keep the last departures beside each node and return them on each new link before any call, so that the next process of the node applies them. Only a later start of the server or a revocation by its node ends a departure. New events departure-recorded, -restored, -unconfirmed; gauge departures_known.

--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/explain/diagnosis.py
@@ -27,6 +27,8 @@
         "backend-unreachable",
         "config-adopted",
         "coverage-changed",
+        "departure-recorded",
+        "departure-restored",
         "departure-revoked",
         "ending",
         "fault",
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
@@ -13,7 +13,7 @@
 from fuchsiagap_node.core.mesh.stream import BrokenStream, accept_all, listen
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.final_response import FinalResponse
@@ -21,7 +21,7 @@
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.stream import Stream
 
-    Handle: TypeAlias = Callable[[Request], FinalResponse]
+    Handle: TypeAlias = Callable[[Request], Awaitable[FinalResponse]]
 
 # Milliseconds after which an idle connection is closed.
 _IDLE_TIMEOUT_MS = 60_000.0
@@ -31,14 +31,14 @@
 async def serve_auxiliary(
     address: str, handle: Handle, names: HeaderNames, event_log: EventLog
 ) -> None:
-    """Serve requests at an address with a synchronous handler until cancelled.
+    """Serve requests at an address until cancelled.
 
     Parameters
     ----------
     address : str
         ``IP:PORT``.
     handle : callable
-        Returns the response to a request; must not block.
+        Returns the response to a request.
     names : HeaderNames
         Header names.
     event_log : EventLog
@@ -69,6 +69,6 @@
         if not data:
             return
         for req in reader.feed(data):
-            await stream.send(encode_response(handle(req), not req.keep_alive))
+            await stream.send(encode_response(await handle(req), not req.keep_alive))
             if not req.keep_alive:
                 return
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -8,7 +8,11 @@
 
 from fuchsiagap.core.backend_queue.abort_rule import MAX_ABANDONED_MS, may_finish
 from fuchsiagap.core.backend_queue.health import ServerHealth
-from fuchsiagap.core.backend_queue.incarnation import BackendState, IncarnationTracker
+from fuchsiagap.core.backend_queue.incarnation import (
+    BackendReport,
+    BackendState,
+    IncarnationTracker,
+)
 from fuchsiagap.core.backend_queue.offered_load import OfferedLoad
 from fuchsiagap.core.backend_queue.queue_timeouts import QueueTimeouts
 from fuchsiagap.core.backend_queue.rank_stats import RankStats
@@ -45,7 +49,6 @@
     import random
     from collections.abc import Callable, Iterator
 
-    from fuchsiagap.core.backend_queue.incarnation import BackendReport
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.http_response import Response
@@ -98,6 +101,9 @@
         Arrivals and starts of each rank.
     changed : callable
         Called when the server's status has changed and has to be published at once.
+    on_departure : callable
+        Called with the identifier and the start time of a server that has announced its
+        departure, and with whether the departure is revoked.
     reports : CrashReports
         Quarantine of requests that crash servers.
     notices : ServerNotices
@@ -153,6 +159,7 @@
         self._abandoned: dict[PendingCall, Milliseconds] = {}
         self.controls_contention: Callable[[], bool] = bool
         self.changed: Callable[[], None] = _nothing
+        self.on_departure: Callable[[str, int | None, bool], None] = _ignore_departure
 
     def adopt(self, cfg: MeshSettings) -> None:
         """Adopt changed settings."""
@@ -306,7 +313,10 @@
     def handle_report(self, report: BackendReport) -> None:
         """Apply a status report of the backend server, unless it is outdated."""
         old = self._incarnation.report
-        if not self._incarnation.update(report):
+        is_new = self._incarnation.update(report)
+        if report.state is not BackendState.READY:
+            self._publish_departure(report)
+        if not is_new:
             self._log_ignored(report)
             return
         self._apply_state(report)
@@ -327,17 +337,39 @@
             uptime=round(self._clock.now() - self._started_at),
         )
         if old is not None and _is_revoked(old, report):
-            self._event_log.event(
-                "departure-revoked",
-                instance=report.instance,
-                born=report.born,
-                departed_born=old.born,
-                sequence=report.sequence,
-            )
+            self._revoke_departure(old, report)
         if report.state is not BackendState.READY:
             self.reject_waiting(LEAVING)
         self.changed()
 
+    def restore_departure(self, instance: str, born: int | None) -> None:
+        """Apply a departure that the server announced to another process.
+
+        Parameters
+        ----------
+        instance : str
+            Identifier of the server.
+        born : int or None
+            Its start time in Unix milliseconds, if known.
+        """
+        self.handle_report(BackendReport(instance, BackendState.GONE, born=born))
+
+    def _publish_departure(self, report: BackendReport) -> None:
+        """Publish the departure of an incarnation, unless its report was rejected."""
+        if self._incarnation.has_departed(report):
+            born = self._incarnation.start_of(report)
+            self.on_departure(report.instance, born, False)
+
+    def _revoke_departure(self, old: BackendReport, report: BackendReport) -> None:
+        self._event_log.event(
+            "departure-revoked",
+            instance=report.instance,
+            born=report.born,
+            departed_born=old.born,
+            sequence=report.sequence,
+        )
+        self.on_departure(report.instance, old.born, True)
+
     def _log_ignored(self, report: BackendReport) -> None:
         """Write an event for a report without effect, and what is known instead."""
         current = self._incarnation.report
@@ -687,5 +719,9 @@
     return report.state is BackendState.READY and not is_later
 
 
+def _ignore_departure(_: str, __: int | None, ___: bool) -> None:
+    """Ignore a departure of the server."""
+
+
 def _nothing() -> None:
     """Ignore a change of the server's status."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -11,6 +11,7 @@
 
 import cbor2
 
+from fuchsiagap.core.backend_queue.departures import Departure
 from fuchsiagap.core.backend_queue.server_load import NO_SPEED
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.fingerprint import FINGERPRINT_BYTES
@@ -25,6 +26,7 @@
     Cancel,
     Cleared,
     ConfigQuery,
+    DepartureReceipt,
     DownstreamSummary,
     EncodedConfig,
     Hello,
@@ -56,6 +58,9 @@
 _CLEARED = 13
 _STALENESS_QUERY, _STALENESS_REPLY, _TOKEN_REQUEST, _TOKEN_GRANT = range(14, 18)
 _NOTICE_REPORT = 18
+_DEPARTURE, _DEPARTURE_RECEIPT = 19, 20
+# Start time in the departure of a server that does not state it.
+_NO_START = 0
 
 
 class BadFrame(Exception):
@@ -167,6 +172,11 @@
             return [_TOKEN_GRANT, query_id, workspace, tokens, wait, is_owner]
         case NoticeReport(instance, rate, is_leaving):
             return [_NOTICE_REPORT, instance, rate, is_leaving]
+        case Departure(node, instance, born, is_revoked):
+            start = _NO_START if born is None else born
+            return [_DEPARTURE, node, instance, start, is_revoked]
+        case DepartureReceipt(instance):
+            return [_DEPARTURE_RECEIPT, instance]
 
 
 def _encode_reply(reply: Reply) -> list[object]:
@@ -250,9 +260,20 @@
         _check_tokens(message)
     elif isinstance(message, NoticeReport):
         _check_notice(message)
+    elif isinstance(message, Departure):
+        return _read_departure(message)
     return message
 
 
+def _read_departure(departure: Departure) -> Departure:
+    """Return a departure with its start time; raise `ValueError` if out of range."""
+    if departure.born == _NO_START:
+        return replace(departure, born=None)
+    if not 0 < departure.born < _MAX_NUMBER:  # type: ignore[operator]
+        raise ValueError(f"start time out of range: {departure.born}")
+    return departure
+
+
 def _check_notice(report: NoticeReport) -> None:
     """Raise `ValueError` unless the rate is in range or absent."""
     if report.rate != NO_RATE and not 0 <= report.rate < _MAX_NUMBER:
@@ -395,6 +416,8 @@
     _TOKEN_REQUEST: (_INT, _STR, _INT),
     _TOKEN_GRANT: (_INT, _STR, _INT, _NUMBER, _BOOL),
     _NOTICE_REPORT: (_STR, _NUMBER, _BOOL),
+    _DEPARTURE: (_STR, _STR, _INT, _BOOL),
+    _DEPARTURE_RECEIPT: (_STR,),
     _ANSWERED: (*_REPLY_PREFIX, _INT, *3 * (_BYTES,)),
     _NOT_RUN: (*_REPLY_PREFIX, _STR, _BOOL),
     _MAY_HAVE_RUN: (*_REPLY_PREFIX, _STR),
@@ -424,6 +447,8 @@
     _TOKEN_REQUEST: TokenRequest,
     _TOKEN_GRANT: TokenGrant,
     _NOTICE_REPORT: NoticeReport,
+    _DEPARTURE: Departure,
+    _DEPARTURE_RECEIPT: DepartureReceipt,
 }
 _CRASH_REPORT_KINDS = frozenset({_CRASH, _HELD, _CLEARED})
 _OUTCOME_CLASSES = {_ANSWERED: Answered, _NOT_RUN: NotRun, _MAY_HAVE_RUN: MayHaveRun}
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -18,6 +18,7 @@
     from fuchsiagap_node.core.mesh.peers import Peers
     from fuchsiagap_node.core.mesh.quotas import Quotas
     from fuchsiagap_node.core.mesh.route_coverage import RouteCoverage
+    from fuchsiagap_node.core.mesh.server_departures import ServerDepartures
     from fuchsiagap_node.core.mesh.workspace_admission import WorkspaceAdmission
 
 
@@ -62,6 +63,11 @@
         yield Gauge("retry_covered_share", f'rank="{rank}"', round(share, 3))
 
 
+def departure_gauges(departures: ServerDepartures) -> Iterator[Gauge]:
+    """Yield the number of departures that are kept, of this node and of others."""
+    yield Gauge("departures_known", "", len(departures))
+
+
 def quarantine_gauges(reports: CrashReports) -> Iterator[Gauge]:
     """Yield the numbers of quarantined and of suspected requests."""
     yield Gauge("quarantine_held", "", reports.quarantine.n_held)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.backend_queue.departures import Departure
 from fuchsiagap.core.backend_queue.server_load import NO_SPEED
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
@@ -16,6 +17,7 @@
     Cancel,
     Cleared,
     ConfigQuery,
+    DepartureReceipt,
     EncodedConfig,
     Hello,
     NoticeReport,
@@ -120,6 +122,11 @@
     on_notice : callable
         Called with the limit or departure of a server and the name of the node that
         sent it.
+    on_departure : callable
+        Called with the departure of a backend server, and with the name and the send
+        function of the node that sent it.
+    on_departure_receipt : callable
+        Called when another node confirms that it has received a departure.
     send_snapshot : callable
         Sends a newly linked node, given its send function and name, the state that it
         needs before it may send calls.
@@ -153,6 +160,8 @@
         self.downstream_keys: Callable[[str, int], int] = _all_keys
         self.on_report: Callable[[Report, str], None] = _ignore_report
         self.on_notice: Callable[[NoticeReport, str], None] = _ignore_notice
+        self.on_departure: Callable[[Departure, str, Post], None] = _ignore_departure
+        self.on_departure_receipt: Callable[[DepartureReceipt], None] = _ignore
         self.send_snapshot: Callable[[Post, str], None] = _ignore_post
         self.answer_staleness: Callable[[StalenessQuery], StalenessReply | None] = (
             _no_staleness
@@ -218,6 +227,10 @@
                 self.on_report(report, sender.node)
             case NoticeReport() as notice:
                 self.on_notice(notice, sender.node)
+            case Departure() as departure:
+                self.on_departure(departure, sender.node, link.post)
+            case DepartureReceipt() as receipt:
+                self.on_departure_receipt(receipt)
             case StalenessQuery() as query:
                 staleness_reply = self.answer_staleness(query)
                 if staleness_reply is not None:
@@ -321,6 +334,10 @@
     """Send no snapshot."""
 
 
+def _ignore_departure(_: Departure, __: str, ___: Post) -> None:
+    """Ignore a departure."""
+
+
 def _ignore_notice(_: NoticeReport, __: str) -> None:
     """Ignore a notice."""
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
@@ -9,7 +9,7 @@
 import trio
 
 from fuchsiagap_node.core.mesh.frames import BadFrame, FrameReader, encode
-from fuchsiagap_node.core.mesh.message_level import message_level
+from fuchsiagap_node.core.mesh.message_level import is_understood, message_level
 from fuchsiagap_node.core.mesh.messages import Cancel, Hello, Message
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
@@ -69,7 +69,7 @@
         self.hello_sent = False
 
     def post(self, message: Message, call_id: int = 0) -> None:
-        """Queue a message.
+        """Queue a message; drop it if the peer's release does not understand it.
 
         Parameters
         ----------
@@ -79,6 +79,8 @@
             Identifier of the call that the message carries, 0 for other messages; see
             `unsent`.
         """
+        if not is_understood(message, self._level):
+            return
         frame = encode(message, self._level)
         if self._compressor is None and not self._outbox and not self._is_writing:
             self._send_now(frame, call_id)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/messages.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from fuchsiagap.core.backend_queue.departures import Departure
 from fuchsiagap.core.backend_queue.server_load import NO_SPEED
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
@@ -351,6 +352,19 @@
     is_leaving: bool
 
 
+@dataclass(frozen=True, slots=True)
+class DepartureReceipt:
+    """Confirms that a `Departure` has been received.
+
+    Parameters
+    ----------
+    instance : str
+        Identifier of the server that leaves.
+    """
+
+    instance: str
+
+
 Message: TypeAlias = (
     Hello
     | Status
@@ -369,4 +383,6 @@
     | TokenRequest
     | TokenGrant
     | NoticeReport
+    | Departure
+    | DepartureReceipt
 )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -34,6 +34,7 @@
     backend_gauges,
     config_gauges,
     coverage_gauges,
+    departure_gauges,
     peer_gauges,
     quarantine_gauges,
     workspace_gauges,
@@ -58,6 +59,7 @@
 from fuchsiagap_node.core.mesh.route_coverage import STEP_MS as COVERAGE_STEP_MS
 from fuchsiagap_node.core.mesh.route_coverage import RouteCoverage
 from fuchsiagap_node.core.mesh.route_loads import RouteLoads
+from fuchsiagap_node.core.mesh.server_departures import ServerDepartures
 from fuchsiagap_node.core.mesh.stream import accept_all, accept_each, listen
 from fuchsiagap_node.core.mesh.suspension_watch import SuspensionWatch
 from fuchsiagap_node.core.mesh.ticker import TICK_MS, Ticker
@@ -281,7 +283,12 @@
         self._placement_context.n_senders = lambda: sum(1 for _ in self._links) + 1
         self._inbound.on_notice = notices.handle_report
         self._inbound.send_snapshot = self._send_snapshot
-        self.reports.peers = notices.posts = self._post_functions
+        self._departures = departures = ServerDepartures(cfg.node, event_log)
+        departures.on_restored = self.backend_queue.restore_departure
+        self.backend_queue.on_departure = departures.announce
+        self._inbound.on_departure = departures.handle_departure
+        self._inbound.on_departure_receipt = departures.handle_receipt
+        self.reports.peers = notices.posts = departures.posts = self._post_functions
         self.backend_queue.changed = self._send_status
         self._ticker = Ticker(clock, event_log)
         for interval, do in (
@@ -313,6 +320,8 @@
         notices = self.backend_queue.notices
         link.on_notice = notices.handle_report
         link.is_leaving = notices.is_leaving
+        link.on_departure = self._departures.handle_departure
+        link.on_departure_receipt = self._departures.handle_receipt
         link.send_snapshot = partial(self._send_snapshot, node=link.member.node)
 
     def _send_snapshot(self, post: Post, node: str) -> None:
@@ -320,6 +329,7 @@
         notices = self.backend_queue.notices
         notices.send_own(post)
         notices.send_remembered(node, post)
+        self._departures.send_snapshot(node, post)
         self.reports.send_snapshot(post)
 
     def _handle_peer_status(self, link: OutboundLink) -> None:
@@ -478,12 +488,12 @@
         """Whether the node accepts requests of callers."""
         return self.entry.table is not None and not self._leaving
 
-    def _answer_health(self, req: Request) -> FinalResponse:
+    async def _answer_health(self, req: Request) -> FinalResponse:
         if not req.target.startswith(self.cfg.health_path.encode()):
             return FinalResponse(404)
         return FinalResponse(200 if self.is_ready() else 503)
 
-    def _answer_report(self, req: Request) -> FinalResponse:
+    async def _answer_report(self, req: Request) -> FinalResponse:
         report = self._read_report(req)
         if isinstance(report, BackendReport):
             report = self._check_service(report)
@@ -494,6 +504,9 @@
                 400, headers=b"Content-Type: text/plain\r\n", body=text
             )
         self.backend_queue.handle_report(report)
+        if report.state is not BackendState.READY:
+            # This process may end at any time after the acknowledgement.
+            await self._departures.wait_until_received()
         return FinalResponse(
             200, headers=b"Content-Type: application/json\r\n", body=b"{}"
         )
@@ -506,13 +519,14 @@
         reason = f"service: got {report.service!r}, expected {service!r}"
         return MalformedInput(report.instance, reason)
 
-    def _answer_metrics(self, req: Request) -> FinalResponse:
+    async def _answer_metrics(self, req: Request) -> FinalResponse:
         if req.method != b"GET":
             return FinalResponse(404)
         content_type = b"Content-Type: text/plain; version=0.0.4\r\n"
         gauges = itertools.chain(
             config_gauges(self._config),
             backend_gauges(self.backend_queue),
+            departure_gauges(self._departures),
             peer_gauges(self._peers),
             quarantine_gauges(self.reports),
             workspace_gauges(self._config, self._workspaces.quotas),
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from fuchsiagap.core.backend_queue.departures import Departure
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.freshness.store_view import NO_EPOCH
 from fuchsiagap.core.placement.choice import Target
@@ -17,6 +18,7 @@
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
     Cleared,
+    DepartureReceipt,
     DownstreamSummary,
     EncodedConfig,
     Hello,
@@ -123,6 +125,11 @@
         Called with a report of requests that crash backend servers.
     on_notice : callable
         Called with the limit or departure of the node's server and the node's name.
+    on_departure : callable
+        Called with the departure of a backend server, the node's name and its send
+        function.
+    on_departure_receipt : callable
+        Called when the node confirms that it has received a departure.
     is_leaving : callable
         Returns whether an incarnation of a server has stated that it is leaving.
     on_staleness : callable
@@ -175,6 +182,8 @@
         self.on_status: Callable[[OutboundLink], None] = _ignore
         self.on_report: Callable[[Report, str], None] = _ignore_both
         self.on_notice: Callable[[NoticeReport, str], None] = _ignore_both
+        self.on_departure: Callable[[Departure, str, Post], None] = _ignore_departure
+        self.on_departure_receipt: Callable[[DepartureReceipt], None] = _ignore
         self.is_leaving: Callable[[str], bool] = _is_not_leaving
         self.on_staleness: Callable[[StalenessReply, str], None] = _ignore_both
         self.on_token_grant: Callable[[TokenGrant], None] = _ignore
@@ -321,6 +330,10 @@
             case NoticeReport() as notice:
                 self.on_notice(notice, self.member.node)
                 self._apply_departure()
+            case Departure() as departure:
+                self.on_departure(departure, self.member.node, link.post)
+            case DepartureReceipt() as receipt:
+                self.on_departure_receipt(receipt)
             case StalenessReply() as staleness:
                 self.on_staleness(staleness, self.member.node)
             case TokenGrant() as grant:
@@ -403,5 +416,9 @@
     """Default callback; does nothing."""
 
 
+def _ignore_departure(_: object, __: object, ___: object) -> None:
+    """Default callback; does nothing."""
+
+
 def _ignore_both(_: object, __: object) -> None:
     """Default callback; does nothing."""
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_departures.py
@@ -0,0 +1,140 @@
+"""Exchange of the departures of backend servers between nodes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from fuchsiagap.core.backend_queue.departures import Departure, DepartureRegister
+from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap_node.core.mesh.messages import DepartureReceipt
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from fuchsiagap_node.core.mesh.crash_reports import Post
+    from fuchsiagap_node.core.mesh.event_log import EventLog
+
+# Maximum milliseconds that the acknowledgement of a departure waits for another node. A
+# server takes no acknowledgement that arrives later than a second.
+_RECEIPT_TIMEOUT_MS = 300.0
+
+
+class ServerDepartures:
+    """Departures of the local backend server, and of others on behalf of their nodes.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node.
+    event_log : EventLog
+        Event log.
+
+    Attributes
+    ----------
+    posts : callable
+        Returns the send function of each linked node, by node name.
+    on_restored : callable
+        Called with the identifier and start time of a server beside this node whose
+        departure another node remembers.
+    """
+
+    def __init__(self, node: str, event_log: EventLog) -> None:
+        self._node = node
+        self._event_log = event_log
+        self._register = DepartureRegister()
+        # Identifier in the last announcement, and whether another node has received it.
+        self._announced = ""
+        self._received = trio.Event()
+        self.posts: Callable[[], Mapping[str, Post]] = dict
+        self.on_restored: Callable[[str, int | None], None] = _ignore
+
+    def __len__(self) -> int:
+        return len(self._register)
+
+    def announce(
+        self, instance: str, born: int | None, is_revoked: bool = False
+    ) -> None:
+        """Record a departure beside this node, and send it to all linked nodes.
+
+        Parameters
+        ----------
+        instance : str
+            Identifier of the server.
+        born : int or None
+            Its start time in Unix milliseconds, if known.
+        is_revoked : bool, default=False
+            Whether the server is used again.
+        """
+        departure = Departure(self._node, instance, born, is_revoked)
+        if not self._register.record(departure):
+            return
+        self._announced, self._received = instance, trio.Event()
+        posts = self.posts()
+        for post in posts.values():
+            post(departure)
+        self._event_log.event(
+            "departure-recorded",
+            instance=instance,
+            born=born,
+            revoked=is_revoked,
+            sent_to=len(posts),
+        )
+
+    async def wait_until_received(self) -> None:
+        """Wait until another node has the last departure beside this node.
+
+        The wait is limited, and ends at once if no node is linked.
+        """
+        if not self._announced or not self.posts():
+            return
+        with trio.move_on_after(_RECEIPT_TIMEOUT_MS / MS_PER_S) as scope:
+            await self._received.wait()
+        if scope.cancelled_caught:
+            self._event_log.event("departure-unconfirmed", sent_to=len(self.posts()))
+
+    def send_snapshot(self, node: str, post: Post) -> None:
+        """Send a newly linked node the departures beside this node and beside it."""
+        for name in (self._node, node):
+            for departure in self._register.of_node(name):
+                post(departure)
+
+    def handle_departure(self, departure: Departure, sender: str, post: Post) -> None:
+        """Keep a departure beside the sender, or restore one beside this node.
+
+        Parameters
+        ----------
+        departure : Departure
+            The departure.
+        sender : str
+            Node that sent it.
+        post : callable
+            Sends a message to the sender.
+        """
+        if departure.node == sender:
+            self._register.record(departure)
+            post(DepartureReceipt(departure.instance))
+        elif departure.node == self._node and not departure.is_revoked:
+            self._restore(departure, sender)
+
+    def _restore(self, departure: Departure, source: str) -> None:
+        """Apply a departure that the previous process of this node announced."""
+        if departure in self._register.of_node(self._node):
+            return
+        self._event_log.event(
+            "departure-restored",
+            instance=departure.instance,
+            born=departure.born,
+            source=source,
+        )
+        self.on_restored(departure.instance, departure.born)
+
+    def handle_receipt(self, receipt: DepartureReceipt) -> None:
+        """Record that another node has received a departure beside this node."""
+        if receipt.instance == self._announced:
+            self._received.set()
+
+
+def _ignore(_: str, __: int | None) -> None:
+    """Ignore a departure."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -6,8 +6,14 @@
 
 import trio
 from testtools import TestCase
+from trio.testing import MockClock
 
+from fuchsiagap.core.backend_queue.departures import Departure
 from fuchsiagap.core.backend_queue.incarnation import BackendState
+from fuchsiagap.core.clock import trio_clock
+from fuchsiagap_node.core.mesh.event_log import EventLog
+from fuchsiagap_node.core.mesh.messages import DepartureReceipt
+from fuchsiagap_node.core.mesh.server_departures import ServerDepartures
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
 from fuchsiagap_standins.mesh.virtual import run_in_memory
@@ -180,3 +186,38 @@
 
         found = play(during, born=1_000)
         self.assertGreater(len(found.arrivals), 0.1 * REQUESTS_PER_S)
+
+
+class TestAcknowledgement(TestCase):
+    """The acknowledgement of a departure waits for another node to have it."""
+
+    def acknowledge(self, n_nodes, confirms):
+        """Return the milliseconds that an acknowledgement waits, and what was sent."""
+
+        async def main():
+            departures = ServerDepartures("n-0", EventLog("n-0", trio_clock()))
+            sent = []
+
+            def post(message):
+                sent.append(message)
+                if confirms:
+                    departures.handle_receipt(DepartureReceipt(message.instance))
+
+            departures.posts = lambda: {f"n-{n + 1}": post for n in range(n_nodes)}
+            started = trio.current_time()
+            departures.announce("i-1", 1_000)
+            await departures.wait_until_received()
+            return 1_000.0 * (trio.current_time() - started), sent
+
+        return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def test_departure_is_sent_to_all_linked_nodes_before_the_acknowledgement(self):
+        waited, sent = self.acknowledge(n_nodes=3, confirms=True)
+        self.assertEqual((0.0, 3 * [Departure("n-0", "i-1", 1_000)]), (waited, sent))
+
+    def test_acknowledgement_waits_a_limited_time_for_silent_nodes(self):
+        waited, _ = self.acknowledge(n_nodes=3, confirms=False)
+        self.assertTrue(0.0 < waited < 500.0, waited)
+
+    def test_node_without_links_acknowledges_at_once(self):
+        self.assertEqual((0.0, []), self.acknowledge(n_nodes=0, confirms=False))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
@@ -8,10 +8,12 @@
 import cbor2
 from testtools import TestCase
 
+from fuchsiagap.core.backend_queue.departures import Departure
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap_node.core.mesh.frames import BadFrame, decode, encode
 from fuchsiagap_node.core.mesh.message_level import (
     MESSAGE_LEVEL,
+    is_understood,
     message_level,
     with_level,
 )
@@ -22,6 +24,7 @@
     Cancel,
     Cleared,
     ConfigQuery,
+    DepartureReceipt,
     DownstreamSummary,
     EncodedConfig,
     Hello,
@@ -56,6 +59,9 @@
     Crash("i-1 17", "certs", 12.5, frozenset({b"a" * 16, b"b" * 16})),
     HeldRequest(b"a" * 16, "certs", 3, 0.0),
     Cleared((b"a" * 16, b"b" * 16)),
+    Departure("n-1", "i-1", 1_700_000_000_000),
+    Departure("n-1", "i-1", None, is_revoked=True),
+    DepartureReceipt("i-1"),
 )
 # Messages with fields of level 1, each with the message that level 0 makes of it.
 PLAIN_REPLIES = MESSAGES[3:6]
@@ -105,6 +111,13 @@
         ):
             self.assertEqual(level, message_level(incarnation), incarnation)
 
+    def test_earlier_releases_get_no_message_that_they_would_reject(self):
+        for message in MESSAGES:
+            is_new = isinstance(message, Departure | DepartureReceipt)
+            for level in range(MESSAGE_LEVEL):
+                self.assertEqual(not is_new, is_understood(message, level), message)
+            self.assertTrue(is_understood(message, MESSAGE_LEVEL), message)
+
 
 class TestFrames(TestCase):
     def test_each_message_survives_a_round_trip(self):
@@ -124,6 +137,12 @@
         for message in MESSAGES:
             self.assertEqual(payload(message), payload(message, level=1))
 
+    def test_departure_with_a_start_time_out_of_range_is_rejected(self):
+        for born in (-1, 2**53):
+            frame = changed(Departure("n-1", "i-1", 1_000), 3, born)
+            with self.assertRaises(BadFrame):
+                decode(frame)
+
     def test_extension_out_of_range_is_rejected(self):
         status, reply, *_ = (payload(m, level=1) for m, _ in EXTENDED_MESSAGES)
         for frame, index, value in (
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
@@ -243,6 +243,36 @@
         self.report = report
         return True
 
+    def has_departed(self, report: BackendReport) -> bool:
+        """Whether the incarnation of a report is known to drain or to have departed.
+
+        Parameters
+        ----------
+        report : BackendReport
+            Report of the incarnation.
+        """
+        if (report.instance, report.born) in self._departed_starts:
+            return True
+        known = self._latest_report(report.instance)
+        return (
+            known is not None
+            and known.is_same_start(report)
+            and known.state is not BackendState.READY
+        )
+
+    def start_of(self, report: BackendReport) -> int | None:
+        """Return the start time of the incarnation of a report, if known.
+
+        Parameters
+        ----------
+        report : BackendReport
+            Report of the incarnation, which may not state it.
+        """
+        known = self._latest_report(report.instance)
+        if report.born is not None or known is None:
+            return report.born
+        return known.born
+
     def refute(self, instance: str) -> bool:
         """Apply the server's statement that it is not the given incarnation.
 
