Do not revoke a departure by delayed heartbeats of an earlier start

What callers would see: requests at a server that has announced its departure, after a crash and a restart under the same identifier. Three heartbeats of the earlier start in a row count as a sign that the wall clock was set back. If they are delayed and arrive after the later start has announced its departure (draining or deregistered), the earlier start became current and ready, and requests went to the server, which has the same identifier and does not refuse them.

Found by playing every order of the reports of two starts; not shown to be what users saw. test_delayed_heartbeats_of_the_earlier_start_do_not_revoke_a_departure fails on the code before (the third heartbeat was accepted). Now heartbeats of an earlier start count after a departure only if they arrive more than 10 s after it, which no delay of seconds explains; a second test holds that a server whose clock was set back is used again then.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -133,7 +133,7 @@
         self._offered_to_limit = OfferedLoad(_LIMIT_AVERAGING_MS)
         self.rank_stats = RankStats()
         self._queue_timeouts = QueueTimeouts()
-        self._incarnation = IncarnationTracker()
+        self._incarnation = IncarnationTracker(clock)
         self._conns = BackendConns(cfg, clock, event_log, self._settle, poller)
         self._at_server: dict[PendingCall, None] = {}
         self._by_id: dict[str, PendingCall] = {}
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
@@ -4,6 +4,10 @@
 
 from dataclasses import dataclass, replace
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from fuchsiagap.core.clock import Clock, Milliseconds
 
 # Maximum number of departed incarnations that are remembered, so that a delayed
 # heartbeat does not make one current again. A node sees only a few per day; the bound
@@ -14,6 +18,8 @@
 # clock of its host was set back. Delayed heartbeats seldom arrive in such a sequence;
 # if they do, the next heartbeat of the running incarnation corrects the mistake.
 _EARLIER_START_REPORTS = 3
+# Maximum milliseconds by which a report is assumed to be delayed.
+_MAX_REPORT_DELAY_MS = 10_000.0
 # Number of heartbeats, received after a departure that was announced without a start
 # time, that show that an earlier incarnation of the same identifier announced it. One
 # or two may have been delayed and stem from the departed incarnation itself.
@@ -87,24 +93,34 @@
     see `refute`.
 
     If the wall clock is set back while the server is down, the new incarnation looks
-    like an earlier one; it is accepted after several heartbeats in a row. A clock that
-    is set forward has no effect before the next start, for which the same holds.
+    like an earlier one; it is accepted after several heartbeats in a row. If the later
+    start has announced its departure, only heartbeats that arrive too long after it to
+    be delayed count, since they would revoke the departure. A clock that is set forward
+    has no effect before the next start, for which the same holds.
 
     A departure without a start time is attributed to the current incarnation, since
     sending new requests to a departed server is worse than sending none to a running
     one. If an earlier incarnation of the identifier never announced its departure, the
     announcement may stem from that incarnation, so several later heartbeats revoke it.
 
+    Parameters
+    ----------
+    clock : Clock
+        Time in milliseconds.
+
     Attributes
     ----------
     report : BackendReport or None
         Newest report of the current incarnation; None before the first.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self.report: BackendReport | None = None
         self._departed: dict[str, BackendReport] = {}
         self._superseded: dict[str, BackendReport] = {}
+        # Time at which the current incarnation announced its departure.
+        self._left_at: Milliseconds = float("-inf")
         # Departed incarnations, by identifier and start time.
         self._departed_starts: dict[tuple[str, int | None], None] = {}
         # Latest heartbeat of an earlier start of the current identifier, and number of
@@ -131,6 +147,14 @@
         bool
             Whether the current report was replaced, even by one with the same state.
         """
+        was_ready = self.report is None or self.report.state is BackendState.READY
+        is_new = self._apply(report)
+        if was_ready and self.report and self.report.state is not BackendState.READY:
+            self._left_at = self._clock.now()
+        return is_new
+
+    def _apply(self, report: BackendReport) -> bool:
+        """Apply a report; return whether the current report was replaced."""
         later = self._later
         if later is not None and _is_same_incarnation(later, report):
             if later.state is BackendState.GONE or report.sequence <= later.sequence:
@@ -178,6 +202,7 @@
             or current is None
             or current.instance != report.instance
             or (report.instance, report.born) in self._departed_starts
+            or self._has_just_left(current)
         ):
             return False
         last = self._earlier
@@ -193,6 +218,13 @@
         self._later = current
         return self._apply_later_start(report, current)
 
+    def _has_just_left(self, current: BackendReport) -> bool:
+        """Whether reports of starts before a departed one may still be delayed."""
+        left_for = self._clock.now() - self._left_at
+        return (
+            current.state is not BackendState.READY and left_for < _MAX_REPORT_DELAY_MS
+        )
+
     def _apply_in_order(self, report: BackendReport) -> bool:
         """Apply a report of the known incarnation, or of a new identifier."""
         if report.instance in self._departed:
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_incarnation.py
@@ -7,6 +7,9 @@
     BackendState,
     IncarnationTracker,
 )
+from fuchsiagap.core.clock import Clock
+
+STOPPED_CLOCK = Clock(now=lambda: 0.0, wall=lambda: 0.0)
 
 
 def a_report(sequence, state=BackendState.READY, instance="i-1", born=None):
@@ -19,7 +22,9 @@
 class TestIncarnation(TestCase):
     def setUp(self):
         super().setUp()
-        self.incarnation = IncarnationTracker()
+        self.now = 0.0
+        self.clock = Clock(now=lambda: self.now, wall=lambda: 0.0)
+        self.incarnation = IncarnationTracker(self.clock)
 
     def test_delayed_report_is_ignored(self):
         self.assertTrue(self.incarnation.update(a_report(5)))
@@ -99,7 +104,9 @@
 
     def setUp(self):
         super().setUp()
-        self.incarnation = IncarnationTracker()
+        self.now = 0.0
+        self.clock = Clock(now=lambda: self.now, wall=lambda: 0.0)
+        self.incarnation = IncarnationTracker(self.clock)
 
     def current(self):
         """Return state, sequence and start time of the current incarnation."""
@@ -113,7 +120,7 @@
 
     def test_later_start_is_current_after_the_earlier_one_drained_or_departed(self):
         for state in (BackendState.DRAINING, BackendState.GONE):
-            incarnation = IncarnationTracker()
+            incarnation = IncarnationTracker(self.clock)
             incarnation.update(a_report(90, born=1_000))
             incarnation.update(a_report(91, state, born=1_000))
             self.assertTrue(incarnation.update(a_report(1, born=2_000)))
@@ -129,7 +136,7 @@
 
     def test_first_report_of_a_later_start_may_be_draining_or_departure(self):
         for state in (BackendState.DRAINING, BackendState.GONE):
-            incarnation = IncarnationTracker()
+            incarnation = IncarnationTracker(self.clock)
             incarnation.update(a_report(90, born=1_000))
             self.assertTrue(incarnation.update(a_report(5, state, born=2_000)))
             self.assertIs(state, incarnation.report.state)
@@ -165,6 +172,27 @@
         self.assertEqual([False, False, True], changed)
         self.assertEqual((BackendState.READY, 3, 4_000), self.current())
 
+    def test_delayed_heartbeats_of_the_earlier_start_do_not_revoke_a_departure(self):
+        for state in (BackendState.DRAINING, BackendState.GONE):
+            incarnation = IncarnationTracker(self.clock)
+            incarnation.update(a_report(1, born=5_000))
+            incarnation.update(a_report(2, state, born=5_000))
+            for n in range(1, 8):
+                self.now += 1_000.0
+                self.assertFalse(incarnation.update(a_report(n, born=4_000)))
+            self.assertIs(state, incarnation.report.state)
+
+    def test_earlier_start_is_accepted_once_its_heartbeats_cannot_be_delayed(self):
+        # The wall clock of the host was set back before the server started again.
+        for state in (BackendState.DRAINING, BackendState.GONE):
+            incarnation = IncarnationTracker(self.clock)
+            incarnation.update(a_report(1, born=5_000))
+            incarnation.update(a_report(2, state, born=5_000))
+            self.now += 12_000.0
+            changed = [incarnation.update(a_report(n, born=4_000)) for n in (1, 2, 3)]
+            self.assertEqual([False, False, True], changed)
+            self.assertIs(BackendState.READY, incarnation.report.state)
+
     def test_delayed_heartbeats_between_current_ones_are_ignored(self):
         self.incarnation.update(a_report(1, born=5_000))
         for n in range(2, 9):
@@ -212,7 +240,7 @@
             order = sorted(
                 range(len(reports)), key=lambda n: n + rng.choice((0, 0, 3, 9))
             )
-            incarnation, received = IncarnationTracker(), []
+            incarnation, received = IncarnationTracker(STOPPED_CLOCK), []
             for n in order:
                 incarnation.update(reports[n])
                 received.append(reports[n])
