Apply a deregistration while an earlier start counts as the current one

After three heartbeats of an earlier start in a row, that start counts as current until a report of the later one shows that it runs. A report with a sequence number up to the last one of the later start was taken for a delayed one. A deregistration carries no sequence number, so it was ignored, and acknowledged: requests went on to the server.

Found by playing every order of the reports of two starts; not shown to be what users saw. test_departure_counts_while_an_earlier_start_is_taken_for_the_current_one fails on the code before (ready after the deregistration). A deregistration now counts whatever its sequence number.

--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
@@ -157,10 +157,12 @@
         """Apply a report; return whether the current report was replaced."""
         later = self._later
         if later is not None and _is_same_incarnation(later, report):
-            if later.state is BackendState.GONE or report.sequence <= later.sequence:
+            is_departure = report.state is BackendState.GONE
+            is_outdated = report.sequence <= later.sequence and not is_departure
+            if later.state is BackendState.GONE or is_outdated:
                 return False
             self._later = None
-            report = _newer(later, report)
+            report = report if is_departure else _newer(later, report)
         known = self._latest_report(report.instance)
         if known is not None and _starts_before(report, known):
             return self._apply_earlier_start(report)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_incarnation.py
@@ -182,6 +182,15 @@
                 self.assertFalse(incarnation.update(a_report(n, born=4_000)))
             self.assertIs(state, incarnation.report.state)
 
+    def test_departure_counts_while_an_earlier_start_is_taken_for_the_current_one(self):
+        for state, sequence in ((BackendState.DRAINING, 2), (BackendState.GONE, 0)):
+            incarnation = IncarnationTracker(self.clock)
+            incarnation.update(a_report(1, born=5_000))
+            for n in (1, 2, 3):
+                incarnation.update(a_report(n, born=4_000))
+            incarnation.update(a_report(sequence, state, born=5_000))
+            self.assertIs(state, incarnation.report.state)
+
     def test_earlier_start_is_accepted_once_its_heartbeats_cannot_be_delayed(self):
         # The wall clock of the host was set back before the server started again.
         for state in (BackendState.DRAINING, BackendState.GONE):
