Acknowledge a departure only if it is in force

A draining heartbeat or a deregistration of an earlier start than the current one is not applied. It was acknowledged all the same: where the wall clock of the host was set back before the start, the running server was told that its departure had been taken, and went on getting requests. Found by playing every order of the reports of two starts; not shown to be what users saw.

test_departure_that_is_not_in_force_is_not_acknowledged fails on the code before, with 200 where 409 is expected.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -342,6 +342,10 @@
             self.reject_waiting(LEAVING)
         self.changed()
 
+    def has_departed(self, report: BackendReport) -> bool:
+        """Whether the incarnation of a report is known to drain or to have departed."""
+        return self._incarnation.has_departed(report)
+
     def restore_departure(self, instance: str, born: int | None) -> None:
         """Apply a departure that the server announced to another process.
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -499,12 +499,11 @@
             report = self._check_service(report)
         if isinstance(report, MalformedInput):
             self.event_log.log_malformed_input("report-unreadable", report)
-            text = f"{report.place}: {report.reason}\n".encode()
-            return FinalResponse(
-                400, headers=b"Content-Type: text/plain\r\n", body=text
-            )
+            return _text_response(400, f"{report.place}: {report.reason}")
         self.backend_queue.handle_report(report)
         if report.state is not BackendState.READY:
+            if not self.backend_queue.has_departed(report):
+                return _text_response(409, f"{report.instance}: a later start is known")
             # This process may end at any time after the acknowledgement.
             await self._departures.wait_until_received()
         return FinalResponse(
@@ -616,3 +615,10 @@
             if spent >= min(_REFUSE_AFTER_MS, time_to_stop / 2.0):
                 self.entry.stopping = True
             await trio.sleep(_STOP_POLL_INTERVAL_MS / MS_PER_S)
+
+
+def _text_response(status: int, text: str) -> FinalResponse:
+    """Return a response with a line of plain text."""
+    return FinalResponse(
+        status, headers=b"Content-Type: text/plain\r\n", body=f"{text}\n".encode()
+    )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from dataclasses import replace
 from functools import partial
 
 import trio
@@ -12,6 +13,8 @@
 from fuchsiagap.core.backend_queue.incarnation import BackendState
 from fuchsiagap.core.clock import trio_clock
 from fuchsiagap_node.core.mesh.event_log import EventLog
+from fuchsiagap_node.core.mesh.http_client import HttpClient
+from fuchsiagap_node.core.mesh.http_names import HeaderNames
 from fuchsiagap_node.core.mesh.messages import DepartureReceipt
 from fuchsiagap_node.core.mesh.server_departures import ServerDepartures
 from fuchsiagap_node.core.mesh.stream import BrokenStream
@@ -189,7 +192,27 @@
 
 
 class TestAcknowledgement(TestCase):
-    """The acknowledgement of a departure waits for another node to have it."""
+    """A departure is acknowledged once it is in force, and known to another node."""
+
+    def test_departure_that_is_not_in_force_is_not_acknowledged(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                host.born = 5_000
+                await deployment.settle()
+                client = HttpClient(host.node.cfg.addresses.reports, HeaderNames())
+                found = []
+                for born, state in itertools.product((4_000, 5_000), (DRAINING, GONE)):
+                    # The wall clock was set back before the start at 4,000.
+                    report = replace(host.next_report(state), born=born)
+                    host.node._read_report = lambda _, report=report: report
+                    response = await client.call("PUT", "/", b"{}", 1_000.0)
+                    is_used = bool(host.node.backend_queue.instance())
+                    found.append((response.status, is_used))
+                return found
+
+        expected = [(409, True), (409, True), (200, False), (200, False)]
+        self.assertEqual(expected, run_in_memory(main))
 
     def acknowledge(self, n_nodes, confirms):
         """Return the milliseconds that an acknowledgement waits, and what was sent."""
