Store departures in the entry of the node, so that they outlast a loss of all nodes

Cause: departures were kept in the memory of nodes alone. Where all of them end at the same moment, no copy is left, and a heartbeat that was sent before makes the departed server ready again.

Change: the node beside the server writes its last departures into its own entry in the store, which it reads at its start anyway: one call (PUT) for each departure, none for a restart. The write begins before the acknowledgement and does not delay it; it is repeated while the store does not answer, and after a restore of the store.

test_departure_outlasts_the_loss_of_all_nodes_at_once fails on the code before: 0 != 121 requests at the departed server after the bound. What remains: all nodes lost within the few milliseconds in which the call is on its way, or while the store is down.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -14,8 +15,9 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
+    from fuchsiagap.core.backend_queue.departures import Departure
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.outbound_link import Member
@@ -82,6 +84,12 @@
         Spreads the list calls of the nodes, and chooses who removes a dead node.
     event_log : EventLog
         Receives events and counts of calls.
+
+    Attributes
+    ----------
+    on_departure : callable
+        Called with each departure in this node's entry in the store, which a previous
+        process of the node wrote.
     """
 
     def __init__(
@@ -106,6 +114,10 @@
         self._removed: dict[str, str] = {}
         self._store_restored = trio.Event()
         self._registered_at = float("-inf")
+        # Departures in the entry of this node, as far as known.
+        self._stored_departures: frozenset[Departure] = frozenset()
+        self._departures_changed = trio.Event()
+        self.on_departure: Callable[[Departure], None] = _ignore_departure
 
     def adopt_bounds(self, bounds: Bounds) -> None:
         """Recompute the timeouts of store requests from `bounds.change`."""
@@ -135,6 +147,40 @@
                 present = await self._list("interval")
                 await self._remove_dead(present)
 
+    def store_departures(self, departures: tuple[Departure, ...]) -> None:
+        """Store the departures beside this node, in its entry.
+
+        They outlast a restart of all nodes at once.
+
+        Parameters
+        ----------
+        departures : tuple of Departure
+            The departures.
+        """
+        self._own = replace(self._own, departures=departures)
+        if frozenset(departures) != self._stored_departures:
+            self._departures_changed.set()
+
+    async def write_departures(self) -> None:
+        """Write changed departures to the store until cancelled."""
+        while True:
+            await self._departures_changed.wait()
+            self._departures_changed = trio.Event()
+            await self._register("departure", is_listed=True)
+
+    def _read_departures(self, present: Mapping[str, Member]) -> None:
+        """Read the departures in the entry of this node."""
+        listed = present.get(self._own.node)
+        if listed is None:
+            return
+        known, self._stored_departures = (
+            self._stored_departures,
+            frozenset(listed.departures),
+        )
+        for departure in listed.departures:
+            if departure not in known:
+                self.on_departure(departure)
+
     def handle_store_restored(self) -> None:
         """Handle the restoration of the store from a backup.
 
@@ -148,7 +194,7 @@
         """Register this node again if the store has lost its entry."""
         self._store_restored = trio.Event()
         await trio.sleep(self._rng.random() * _REGISTER_AGAIN_JITTER_MS / MS_PER_S)
-        if not await self._probe.find_entry("returned"):
+        if self._own.departures or not await self._probe.find_entry("returned"):
             await self._register("returned")
 
     def _is_listed(self, present: Mapping[str, Member]) -> bool:
@@ -214,6 +260,7 @@
                 for entry in result.malformed:
                     # Neither linked nor removed: its writer may still need it.
                     self._event_log.log_malformed_input("entry-unreadable", entry)
+                self._read_departures(result.present)
                 self._links.add_members(result.present.values())
                 self._links.remove_unlisted(result.present, _FORGET_AFTER_MS)
                 return result.present
@@ -233,20 +280,26 @@
         """Whether this node has no working link to another node."""
         return not any(link.is_responsive() for link in self._links)
 
-    async def _register(self, cause: str) -> None:
+    async def _register(self, cause: str, is_listed: bool = False) -> None:
         wait = 2.0 * self._timeouts.hedge_delay
-        while (failed := await self._register_once(cause, wait)) is not None:
+        while (failed := await self._register_once(cause, wait, is_listed)) is not None:
             self._event_log.event("announce-failed", cause=failed)
             wait = min(2.0 * wait, _MAX_REGISTER_TIMEOUT_MS)
             await self._probe.find_entry("announce")
         self._registered_at = self._clock.now()
 
-    async def _register_once(self, cause: str, wait: Milliseconds) -> str | None:
+    async def _register_once(
+        self, cause: str, wait: Milliseconds, is_listed: bool
+    ) -> str | None:
         """Register once; return why the store did not accept it, or None if it did."""
         self._event_log.count_store_call("member-announce", cause)
+        own = self._own
         with trio.move_on_after(wait / MS_PER_S):
-            failed = await self._store.register(self._own)
-            return None if failed is None else failed.reason
+            failed = await self._store.register(own, is_listed)
+            if failed is not None:
+                return failed.reason
+            self._stored_departures = frozenset(own.departures)
+            return None
         return f"no answer within {wait:.0f} ms"
 
     async def deregister(self) -> None:
@@ -259,3 +312,7 @@
 
 def _ignore() -> None:
     """Do nothing."""
+
+
+def _ignore_departure(_: Departure) -> None:
+    """Ignore a departure."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -285,6 +285,8 @@
         self._inbound.send_snapshot = self._send_snapshot
         self._departures = departures = ServerDepartures(cfg.node, event_log)
         departures.on_restored = self.backend_queue.restore_departure
+        departures.store = self._members.store_departures
+        self._members.on_departure = partial(departures.restore, source="store")
         self.backend_queue.on_departure = departures.announce
         self._inbound.on_departure = departures.handle_departure
         self._inbound.on_departure_receipt = departures.handle_receipt
@@ -467,7 +469,11 @@
                 nursery.start_soon(
                     serve_auxiliary, address, handle, names, self.event_log
                 )
-            for work in (self._config.run, self._members.run):
+            for work in (
+                self._config.run,
+                self._members.run,
+                self._members.write_departures,
+            ):
                 nursery.start_soon(self._restart_on_failure, work)
 
     async def _restart_on_failure(self, work: Callable[[], Awaitable[None]]) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
@@ -78,6 +78,8 @@
         ``IP:PORT`` at which it accepts links.
     data_centre, service : str
         Its data centre, and the service of the backend server on its host.
+    departures : tuple of Departure, default=()
+        Last departures of servers beside it.
     """
 
     node: str
@@ -85,6 +87,7 @@
     address: str
     data_centre: str
     service: str
+    departures: tuple[Departure, ...] = ()
 
 
 class OutboundLink:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_departures.py
@@ -35,6 +35,8 @@
     ----------
     posts : callable
         Returns the send function of each linked node, by node name.
+    store : callable
+        Called with the departures beside this node after a change.
     on_restored : callable
         Called with the identifier and start time of a server beside this node whose
         departure another node remembers.
@@ -44,10 +46,13 @@
         self._node = node
         self._event_log = event_log
         self._register = DepartureRegister()
+        # Departures beside this node that were returned to it.
+        self._returned: set[Departure] = set()
         # Identifier in the last announcement, and whether another node has received it.
         self._announced = ""
         self._received = trio.Event()
         self.posts: Callable[[], Mapping[str, Post]] = dict
+        self.store: Callable[[tuple[Departure, ...]], None] = _ignore_all
         self.on_restored: Callable[[str, int | None], None] = _ignore
 
     def __len__(self) -> int:
@@ -81,6 +86,7 @@
             revoked=is_revoked,
             sent_to=len(posts),
         )
+        self.store(tuple(self._register.of_node(self._node)))
 
     async def wait_until_received(self) -> None:
         """Wait until another node has the last departure beside this node.
@@ -116,12 +122,23 @@
             self._register.record(departure)
             post(DepartureReceipt(departure.instance))
         elif departure.node == self._node and not departure.is_revoked:
-            self._restore(departure, sender)
+            self.restore(departure, sender)
 
-    def _restore(self, departure: Departure, source: str) -> None:
-        """Apply a departure that the previous process of this node announced."""
-        if departure in self._register.of_node(self._node):
+    def restore(self, departure: Departure, source: str) -> None:
+        """Apply a departure that a previous process of this node announced.
+
+        Parameters
+        ----------
+        departure : Departure
+            The departure.
+        source : str
+            Where it was kept: a node, or the store.
+        """
+        if departure in self._returned or departure in self._register.of_node(
+            self._node
+        ):
             return
+        self._returned.add(departure)
         self._event_log.event(
             "departure-restored",
             instance=departure.instance,
@@ -138,3 +155,7 @@
 
 def _ignore(_: str, __: int | None) -> None:
     """Ignore a departure."""
+
+
+def _ignore_all(_: tuple[Departure, ...]) -> None:
+    """Store no departures."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/store.py
@@ -161,8 +161,18 @@
             seconds old, at a lower cost.
         """
 
-    async def register(self, member: Member) -> StoreFailed | None:
-        """Register a node."""
+    async def register(
+        self, member: Member, is_listed: bool = False
+    ) -> StoreFailed | None:
+        """Register a node, or replace its entry.
+
+        Parameters
+        ----------
+        member : Member
+            Entry of the node.
+        is_listed : bool, default=False
+            Whether the entry probably exists, which saves a call.
+        """
 
     async def deregister(self, node: str) -> StoreFailed | None:
         """Remove the entry of a node."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -170,6 +170,16 @@
 
         self.assertEqual(0, play(during).n_late_arrivals())
 
+    def test_departure_outlasts_the_loss_of_all_nodes_at_once(self):
+        async def during(departures):
+            departures.leave(GONE)
+            await trio.sleep(0.2)
+            departures.restart(0, 1, 2, 3)
+            await trio.sleep(1.5)
+            departures.deliver_late_heartbeat()
+
+        self.assertEqual(0, play(during).n_late_arrivals())
+
     def test_restarts_in_any_order_do_not_revoke_a_departure(self):
         for seed in range(12):
             during = partial(restart_at_random, random.Random(seed))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_member_sync.py
@@ -3,6 +3,7 @@
 import trio
 from testtools import TestCase
 
+from fuchsiagap.core.backend_queue.incarnation import BackendState
 from fuchsiagap_node.core.mesh.outbound_link import Member
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
 from fuchsiagap_standins.mesh.virtual import run_in_memory
@@ -24,6 +25,24 @@
 
         self.assertEqual(0, run_in_memory(main))
 
+    def test_departure_is_written_once_and_restored_without_a_write(self):
+        async def main():
+            async with a_deployment(READ) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                n_before = deployment.state.writes
+                for state in (BackendState.DRAINING, BackendState.GONE):
+                    host.report(state)
+                    await trio.sleep(1.0)
+                host = deployment.restart(host)
+                await trio.sleep(3.0)
+                departed = host.node.backend_queue.known_instance()
+                host.node.backend_queue.handle_report(host.next_report())
+                is_used = bool(host.node.backend_queue.instance())
+                return deployment.state.writes - n_before, departed, is_used
+
+        self.assertEqual((1, "", False), run_in_memory(main))
+
     def test_node_with_new_address_registers_again(self):
         async def main():
             async with a_deployment(READ) as deployment:
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_store.py
@@ -221,7 +221,9 @@
         members = self._state.members
         return Members({n: m for n, m in members.items() if n not in hidden})
 
-    async def register(self, member: Member) -> StoreFailed | None:
+    async def register(
+        self, member: Member, is_listed: bool = False
+    ) -> StoreFailed | None:
         """Add or replace the member entry of this node."""
         await trio.lowlevel.checkpoint()
         if (failed := self._call()) is not None:
