Use a server again that stated its departure and started again

What callers would see: a server that states in a response that it leaves, and starts again under its identifier, got no request from other hosts any more. Other nodes kept the statement by identifier alone and held it against the later start; after a restart of the node beside the server, they returned it to that node as well.

A stated departure is now recorded, returned and ended like one that was announced, with its start time. Other nodes no longer judge by the identifier.

test_server_is_used_by_all_nodes_after_it_started_again fails on the code before: 0 of 100 requests from another host ran at the server, with and without a restart of its node.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -660,10 +661,18 @@
     def _handle_notice(self) -> None:
         """Apply a changed limit or departure of the server."""
         self._queue.max_waiting = self._max_waiting()
+        if self.notices.notice.is_leaving:
+            self._apply_stated_departure()
         if not self.notices.accepts_requests:
             self.reject_waiting(self._unusable_reason())
         self.changed()
 
+    def _apply_stated_departure(self) -> None:
+        """Treat a departure that the server states in a response as a report of it."""
+        current = self._incarnation.report
+        if current is not None and current.state is BackendState.READY:
+            self.handle_report(replace(current, state=BackendState.GONE))
+
     def _running_fingerprints(self) -> frozenset[bytes]:
         """Return the fingerprints of the requests that the server runs now."""
         return frozenset(
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -321,7 +321,6 @@
         self._workspaces.prepare_link(link)
         notices = self.backend_queue.notices
         link.on_notice = notices.handle_report
-        link.is_leaving = notices.is_leaving
         link.on_departure = self._departures.handle_departure
         link.on_departure_receipt = self._departures.handle_receipt
         link.send_snapshot = partial(self._send_snapshot, node=link.member.node)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
@@ -133,8 +133,6 @@
         function.
     on_departure_receipt : callable
         Called when the node confirms that it has received a departure.
-    is_leaving : callable
-        Returns whether an incarnation of a server has stated that it is leaving.
     on_staleness : callable
         Called with the staleness of the node's configuration and the node's name.
     on_token_grant : callable
@@ -187,7 +185,6 @@
         self.on_notice: Callable[[NoticeReport, str], None] = _ignore_both
         self.on_departure: Callable[[Departure, str, Post], None] = _ignore_departure
         self.on_departure_receipt: Callable[[DepartureReceipt], None] = _ignore
-        self.is_leaving: Callable[[str], bool] = _is_not_leaving
         self.on_staleness: Callable[[StalenessReply, str], None] = _ignore_both
         self.on_token_grant: Callable[[TokenGrant], None] = _ignore
         self.on_open: Callable[[OutboundLink], None] = _ignore
@@ -332,7 +329,6 @@
                 self.on_report(report, self.member.node)
             case NoticeReport() as notice:
                 self.on_notice(notice, self.member.node)
-                self._apply_departure()
             case Departure() as departure:
                 self.on_departure(departure, self.member.node, link.post)
             case DepartureReceipt() as receipt:
@@ -378,18 +374,11 @@
         target.service_ms = status.service_ms
         target.speed = status.speed
         target.refusing = status.refusing
-        self._apply_departure()
         self.version = status.version
         self.epoch = status.epoch
         self.update_source = status.update_source
         self.on_status(self)
 
-    def _apply_departure(self) -> None:
-        """Mark a server that has stated that it is leaving as unusable."""
-        if self.target.instance and self.is_leaving(self.target.instance):
-            self.target.instance = ""
-            self.target.usable = False
-
     def _handle_loss(self, link: FramedLink) -> None:
         """Fail the pending calls of a link that has ended."""
         if self._link is not None:
@@ -410,11 +399,6 @@
     return float("-inf")
 
 
-def _is_not_leaving(_: str) -> bool:
-    """Return that a server is not leaving."""
-    return False
-
-
 def _ignore(_: object) -> None:
     """Default callback; does nothing."""
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
@@ -2,12 +2,15 @@
 
 The node beside a server reads its statement in its responses and enforces it, since all
 requests to the server pass through that node. Other nodes keep a copy, which they send
-back to that node after its restart, before any request.
+back to that node after its restart, before any request. The copy does not state which
+start of the server it is from, so departures are restored by `ServerDepartures`, except
+at nodes of earlier releases.
 """
 
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -139,8 +142,11 @@
         self._logged.clear()
         self._is_publication_due = False
         _, remembered = self._remembered.pop(instance, ("", NO_NOTICE))
-        if remembered != NO_NOTICE:
-            self._apply(remembered, float("-inf"))
+        self._restore(remembered)
+
+    def _restore(self, notice: ServerNotice) -> None:
+        """Apply the limit in a statement of the local server that a node returned."""
+        self._apply(replace(notice, is_leaving=False), float("-inf"))
 
     def handle_response(
         self, instance: str, response: Response, sent_at: Milliseconds
@@ -254,7 +260,7 @@
         rate = None if report.rate == NO_RATE else report.rate
         notice = ServerNotice(rate, report.is_leaving)
         if report.instance == self._instance:
-            self._apply(notice, float("-inf"))
+            self._restore(notice)
             return
         self._remembered.pop(report.instance, None)
         if notice == NO_NOTICE:
@@ -273,11 +279,6 @@
         for other in earlier:
             del self._remembered[other]
 
-    def is_leaving(self, instance: str) -> bool:
-        """Whether a server of another node has stated that it is leaving."""
-        remembered = self._remembered.get(instance)
-        return remembered is not None and remembered[1].is_leaving
-
     def remembered_rates(self) -> Mapping[str, float]:
         """Return the limits of other servers, by incarnation."""
         return {
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -18,6 +18,7 @@
 from fuchsiagap_node.core.mesh.messages import DepartureReceipt
 from fuchsiagap_node.core.mesh.server_departures import ServerDepartures
 from fuchsiagap_node.core.mesh.stream import BrokenStream
+from fuchsiagap_standins.mesh.backend_server import Behaviour
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
 from fuchsiagap_standins.mesh.virtual import run_in_memory
 
@@ -201,6 +202,50 @@
         self.assertGreater(len(found.arrivals), 0.1 * REQUESTS_PER_S)
 
 
+class TestStatedDeparture(TestCase):
+    """Departures that servers state in their responses."""
+
+    def play(self, restarts_node):
+        """Return the requests from another host before and after a server's restart."""
+
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                hosts = [deployment.add("certs", slots=30) for _ in range(4)]
+                for host in hosts:
+                    host.born = 1_000
+                await deployment.settle()
+                leaving, server = hosts[0], hosts[0].server
+                server.behave = lambda _: Behaviour(headers=(b"Leaving: 1",))
+                found = [await self.count_runs(server, hosts[1])]
+                leaving.departed = server.instance
+                if restarts_node:
+                    leaving = deployment.restart(leaving)
+                    await trio.sleep(2.0)
+                found.append(await self.count_runs(server, hosts[1]))
+                server.behave = lambda _: Behaviour()
+                leaving.born, leaving.sequence = 2_000, 0
+                leaving.report()
+                found.append(await self.count_runs(server, hosts[1]))
+                return found
+
+        return run_in_memory(main)
+
+    async def count_runs(self, server, entry):
+        """Send 100 requests to a host; return the number that run at a server."""
+        before = sum(server.runs.values())
+        for _ in range(100):
+            await entry.send("/read/1", f"r-{next(self.numbers)}")
+            await trio.sleep(0.02)
+        return sum(server.runs.values()) - before
+
+    def test_server_is_used_by_all_nodes_after_it_started_again(self):
+        for restarts_node in (False, True):
+            self.numbers = itertools.count()
+            first, departed, restarted = self.play(restarts_node)
+            self.assertEqual((1, 0), (first, departed), restarts_node)
+            self.assertGreater(restarted, 10, restarts_node)
+
+
 class TestAcknowledgement(TestCase):
     """A departure is acknowledged once it is in force, and known to another node."""
 
