Do not keep a server in use by its responses after a single heartbeat

A server that answers counted as alive without heartbeats, so that one heartbeat, sent before its departure and received by the next process of its node, kept it in use until it ended. Where no copy of the departure is left, this is what remains of the incident.

After the first heartbeat that a process receives, the second one has to follow within two intervals; from then on responses count as before. test_one_late_heartbeat_does_not_ keep_a_server_in_use fails on the code before: last request 14.97 s after the departure, 5.0 s allowed (two intervals of 1.5 s after the heartbeat at 1.5 s, and 0.5 s).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -181,6 +181,20 @@
 
         self.assertEqual(0, play(during).n_late_arrivals())
 
+    def test_one_late_heartbeat_does_not_keep_a_server_in_use(self):
+        # Neither other nodes nor the store know of the departure.
+        async def during(departures):
+            departures.leave(GONE)
+            departures.deployment.state.members.clear()
+            departures.restart(0)
+            await trio.sleep(1.5)
+            departures.deliver_late_heartbeat()
+
+        found = play(during, n_hosts=1, seconds=16.0)
+        last = max(found.arrivals, default=0.0)
+        heartbeat_s = found.leaving.node.cfg.bounds.heartbeat / 1_000.0
+        self.assertLess(last, 1.5 + 2.0 * heartbeat_s + 0.5)
+
     def test_restarts_in_any_order_do_not_revoke_a_departure(self):
         for seed in range(12):
             during = partial(restart_at_random, random.Random(seed))
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/health.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/health.py
@@ -18,6 +18,9 @@
 # Heartbeat intervals without a heartbeat after which a server that answers no requests
 # counts as dead.
 _MISSED_HEARTBEATS = 3.0
+# The same after the first heartbeat, whether the server answers or not: it may have
+# been sent before the server announced its departure to an earlier process.
+_MISSED_AFTER_FIRST_HEARTBEAT = 2.0
 # Milliseconds after an answer for which a server counts as alive without heartbeats.
 _ALIVE_AFTER_ANSWER_MS = 1_500.0
 
@@ -65,11 +68,13 @@
         self._refusing = _DecayingShare(now)
         self._unreachable_until = 0.0
         self._heartbeat_at = now
+        self._n_heartbeats = 0
         self._answered_at = float("-inf")
 
     def record_heartbeat(self, now: Milliseconds) -> None:
         """Record a heartbeat, which also makes an unreachable server usable again."""
         self._heartbeat_at = now
+        self._n_heartbeats += 1
         self._unreachable_until = 0.0
 
     def record_answer(self, now: Milliseconds) -> None:
@@ -127,6 +132,9 @@
         heartbeat : float
             Heartbeat interval of the server in milliseconds.
         """
-        if now - self._heartbeat_at < _MISSED_HEARTBEATS * heartbeat:
+        age = self.heartbeat_age(now)
+        if self._n_heartbeats == 1:
+            return age < _MISSED_AFTER_FIRST_HEARTBEAT * heartbeat
+        if age < _MISSED_HEARTBEATS * heartbeat:
             return True
         return now - self._answered_at < _ALIVE_AFTER_ANSWER_MS
