--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -734,8 +734,7 @@
     """Whether a report makes a departed server ready again without a later start."""
     if old.instance != report.instance or old.state is BackendState.READY:
         return False
-    is_later = None not in (old.born, report.born) and old.born < report.born  # type: ignore[operator]
-    return report.state is BackendState.READY and not is_later
+    return report.state is BackendState.READY and not old.starts_before(report)
 
 
 def _ignore_departure(_: str, __: int | None, ___: bool) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -286,7 +286,7 @@
         self._inbound.send_snapshot = self._send_snapshot
         self._departures = departures = ServerDepartures(cfg.node, event_log)
         departures.on_restored = self.backend_queue.restore_departure
-        departures.store = self._members.store_departures
+        departures.on_changed = self._members.store_departures
         self._members.on_departures = self._restore_departures
         self.backend_queue.knows_departures = cfg.first_start
         self.backend_queue.on_departure = departures.announce
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_departures.py
@@ -35,7 +35,7 @@
     ----------
     posts : callable
         Returns the send function of each linked node, by node name.
-    store : callable
+    on_changed : callable
         Called with the departures beside this node after a change.
     on_restored : callable
         Called with the identifier and start time of a server beside this node whose
@@ -52,7 +52,7 @@
         self._announced = ""
         self._received = trio.Event()
         self.posts: Callable[[], Mapping[str, Post]] = dict
-        self.store: Callable[[tuple[Departure, ...]], None] = _ignore_all
+        self.on_changed: Callable[[tuple[Departure, ...]], None] = _ignore_all
         self.on_restored: Callable[[str, int | None], None] = _ignore
 
     def __len__(self) -> int:
@@ -86,7 +86,7 @@
             revoked=is_revoked,
             sent_to=len(posts),
         )
-        self.store(tuple(self._register.of_node(self._node)))
+        self.on_changed(tuple(self._register.of_node(self._node)))
 
     async def wait_until_received(self) -> None:
         """Wait until another node has the last departure beside this node.
@@ -134,9 +134,8 @@
         source : str
             Where it was kept: a node, or the store.
         """
-        if departure in self._returned or departure in self._register.of_node(
-            self._node
-        ):
+        own = self._register.of_node(self._node)
+        if departure in self._returned or departure in own:
             return
         self._returned.add(departure)
         self._event_log.event(
@@ -158,4 +157,4 @@
 
 
 def _ignore_all(_: tuple[Departure, ...]) -> None:
-    """Store no departures."""
+    """Ignore a change of the departures."""
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/departures.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/departures.py
@@ -60,8 +60,10 @@
         changed = _update(departures, departure)
         if departures:
             self._by_node[departure.node] = departures
-        _limit(departures, _MAX_PER_NODE)
-        _limit(self._by_node, _MAX_NODES)
+        while len(departures) > _MAX_PER_NODE:
+            del departures[next(iter(departures))]
+        while len(self._by_node) > _MAX_NODES:
+            del self._by_node[next(iter(self._by_node))]
         return changed
 
     def of_node(self, node: str) -> Iterator[Departure]:
@@ -89,11 +91,3 @@
     if departure.born is None or other.born is None:
         return False
     return departure.born < other.born
-
-
-def _limit(
-    entries: dict[str, Departure] | dict[str, dict[str, Departure]], most: int
-) -> None:
-    """Remove the oldest entries above a number."""
-    while len(entries) > most:
-        del entries[next(iter(entries))]  # type: ignore[arg-type]
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
@@ -82,6 +82,18 @@
             return False
         return None in (self.born, other.born) or self.born == other.born
 
+    def starts_before(self, other: BackendReport) -> bool:
+        """Whether this report has an earlier start time than another.
+
+        Parameters
+        ----------
+        other : BackendReport
+            Report of the same identifier.
+        """
+        if self.born is None or other.born is None:
+            return False
+        return self.born < other.born
+
 
 class IncarnationTracker:
     """Decides from heartbeats which incarnation of the backend server is current.
@@ -164,12 +176,12 @@
             self._later = None
             report = report if is_departure else _newer(later, report)
         known = self._latest_report(report.instance)
-        if known is not None and _starts_before(report, known):
+        if known is not None and report.starts_before(known):
             return self._apply_earlier_start(report)
         current = self.report
         if current is not None and current.instance == report.instance:
             self._earlier = None
-        if known is not None and _starts_before(known, report):
+        if known is not None and known.starts_before(report):
             return self._apply_later_start(report, known)
         return self._apply_in_order(report)
 
@@ -325,6 +337,8 @@
             return False
         _, self.report = self._superseded.popitem()
         self._supersede(old)
+        if self.report.state is not BackendState.READY:
+            self._left_at = self._clock.now()
         return True
 
     def _supersede(self, report: BackendReport) -> None:
@@ -358,13 +372,6 @@
         return True
 
 
-def _starts_before(report: BackendReport, other: BackendReport) -> bool:
-    """Whether a report has an earlier start time than another of its identifier."""
-    if report.born is None or other.born is None:
-        return False
-    return report.born < other.born
-
-
 def _is_same_incarnation(one: BackendReport, other: BackendReport) -> bool:
     """Whether two reports have the same identifier and start time."""
     return one.instance == other.instance and one.born == other.born
