Apply a departure that a server reported to another node than its own

A departure that another node received was acknowledged there, and not in force: the node beside the server went on sending to it.

test_departure_that_another_node_acknowledged_is_in_force fails on the code before ([True, True, True] where [False, True, True] is expected). Departures reach all linked nodes already; the node beside the server now applies one that names its server.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -285,6 +285,7 @@
         self._inbound.on_notice = notices.handle_report
         self._inbound.send_snapshot = self._send_snapshot
         self._departures = departures = ServerDepartures(cfg.node, event_log)
+        departures.local_instance = self.backend_queue.known_instance
         departures.on_restored = self.backend_queue.restore_departure
         departures.on_changed = self._members.store_departures
         self._members.on_departures = self._restore_departures
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_departures.py
@@ -35,6 +35,8 @@
     ----------
     posts : callable
         Returns the send function of each linked node, by node name.
+    local_instance : callable
+        Returns the identifier of the server beside this node.
     on_changed : callable
         Called with the departures beside this node after a change.
     on_restored : callable
@@ -52,6 +54,7 @@
         self._announced = ""
         self._received = trio.Event()
         self.posts: Callable[[], Mapping[str, Post]] = dict
+        self.local_instance: Callable[[], str] = str
         self.on_changed: Callable[[tuple[Departure, ...]], None] = _ignore_all
         self.on_restored: Callable[[str, int | None], None] = _ignore
 
@@ -107,7 +110,7 @@
                 post(departure)
 
     def handle_departure(self, departure: Departure, sender: str, post: Post) -> None:
-        """Keep a departure beside the sender, or restore one beside this node.
+        """Keep a departure beside the sender, or apply one beside this node.
 
         Parameters
         ----------
@@ -121,11 +124,13 @@
         if departure.node == sender:
             self._register.record(departure)
             post(DepartureReceipt(departure.instance))
-        elif departure.node == self._node and not departure.is_revoked:
+        # A server may have reported its departure to another node than its own.
+        is_local = departure.instance == self.local_instance()
+        if (departure.node == self._node or is_local) and not departure.is_revoked:
             self.restore(departure, sender)
 
     def restore(self, departure: Departure, source: str) -> None:
-        """Apply a departure that a previous process of this node announced.
+        """Apply a departure beside this node that another process received.
 
         Parameters
         ----------
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -213,6 +213,22 @@
         self.assertEqual([True, True], run_in_memory(partial(main, is_down=False)))
         self.assertEqual([False, True], run_in_memory(partial(main, is_down=True)))
 
+    def test_departure_that_another_node_acknowledged_is_in_force(self):
+        async def main(state):
+            async with a_deployment(a_route("read")) as deployment:
+                hosts = [deployment.add("certs", hall) for hall in DATA_CENTRES]
+                await deployment.settle()
+                leaving = hosts[0]
+                leaving.departed = leaving.server.instance
+                queues = [host.node.backend_queue for host in hosts]
+                queues[1].handle_report(leaving.next_report(state))
+                await trio.sleep(0.5)
+                return [bool(queue.instance()) for queue in queues]
+
+        for state in (DRAINING, GONE):
+            found = run_in_memory(partial(main, state))
+            self.assertEqual([False, True, True], found, state)
+
     def test_restarts_in_any_order_do_not_revoke_a_departure(self):
         for seed in range(12):
             during = partial(restart_at_random, random.Random(seed))
