--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -98,6 +98,10 @@
                 nursery.start_soon(send, rng.choice(self.hosts))
                 await trio.sleep(rng.expovariate(REQUESTS_PER_S))
 
+    def served_share(self):
+        """Return the share of the requests that were answered with success."""
+        return self.statuses.count(200) / len(self.statuses)
+
     def n_late_arrivals(self):
         """Return the number of requests that reached the server too late."""
         return sum(age > DRAIN_S for age in self.arrivals)
@@ -149,6 +153,7 @@
 
             found = play(during, born=born)
             self.assertEqual(0, found.n_late_arrivals(), (state, born))
+            self.assertGreater(found.served_share(), 0.95, (state, born))
 
     def test_departure_outlasts_restarts_of_all_nodes_one_after_another(self):
         async def during(departures):
