--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -29,7 +29,7 @@
 GONE, DRAINING = BackendState.GONE, BackendState.DRAINING
 
 
-class Play:
+class DepartureScenario:
     """Hosts under load, of which the first one's server leaves.
 
     Parameters
@@ -107,95 +107,95 @@
         return sum(age > DRAIN_S for age in self.arrivals)
 
 
-def play(during, n_hosts=4, seconds=12.0, seed=0, born=None):
-    """Run load, and `during(play)` after 1 s of it; return the play."""
+def run_scenario(during, n_hosts=4, seconds=12.0, seed=0, born=None):
+    """Run load, and `during(scenario)` after 1 s of it; return the scenario."""
 
     async def main():
         async with a_deployment(a_route("read")) as deployment:
             deployment.first_seed = seed * 100
-            departures = Play(deployment, n_hosts)
-            for host in departures.hosts:
+            scenario = DepartureScenario(deployment, n_hosts)
+            for host in scenario.hosts:
                 host.born = born
             await deployment.settle()
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(departures.send_load, seconds)
+                nursery.start_soon(scenario.send_load, seconds)
                 await trio.sleep(1.0)
-                await during(departures)
-            return departures
+                await during(scenario)
+            return scenario
 
     return run_in_memory(main, seed)
 
 
-async def restart_at_random(rng, departures):
+async def restart_at_random(rng, scenario):
     """Let the first server leave, then restart nodes around late heartbeats."""
-    departures.leave(rng.choice((GONE, DRAINING)))
+    scenario.leave(rng.choice((GONE, DRAINING)))
     n_late = 0
     for _ in range(rng.randint(1, 4)):
         await trio.sleep(rng.uniform(0.02, 1.5))
         # The last node knows of the departure and goes on running.
-        departures.restart(*rng.sample(range(3), rng.randint(1, 2)))
+        scenario.restart(*rng.sample(range(3), rng.randint(1, 2)))
         if n_late < 2 and rng.random() < 0.7:
             n_late += 1
             await trio.sleep(rng.uniform(0.3, 2.0))
-            departures.deliver_late_heartbeat()
+            scenario.deliver_late_heartbeat()
 
 
 class TestDepartures(TestCase):
     def test_node_killed_after_an_acknowledged_departure_does_not_use_the_server(self):
         for state, born in itertools.product((GONE, DRAINING), (None, 1_000)):
 
-            async def during(departures, state=state):
-                departures.leave(state)
+            async def during(scenario, state=state):
+                scenario.leave(state)
                 await trio.sleep(0.3)
-                departures.restart(0)
+                scenario.restart(0)
                 await trio.sleep(2.2)
-                departures.deliver_late_heartbeat()
+                scenario.deliver_late_heartbeat()
 
-            found = play(during, born=born)
+            found = run_scenario(during, born=born)
             self.assertEqual(0, found.n_late_arrivals(), (state, born))
             self.assertGreater(found.served_share(), 0.95, (state, born))
 
     def test_departure_outlasts_restarts_of_all_nodes_one_after_another(self):
-        async def during(departures):
-            departures.leave(GONE)
+        async def during(scenario):
+            scenario.leave(GONE)
             for number in (1, 2, 3, 0):
                 await trio.sleep(0.7)
-                departures.restart(number)
+                scenario.restart(number)
             await trio.sleep(1.0)
-            departures.deliver_late_heartbeat()
+            scenario.deliver_late_heartbeat()
 
-        self.assertEqual(0, play(during).n_late_arrivals())
+        self.assertEqual(0, run_scenario(during).n_late_arrivals())
 
     def test_departure_outlasts_the_loss_of_half_of_the_nodes_at_once(self):
-        async def during(departures):
-            departures.leave(GONE)
+        async def during(scenario):
+            scenario.leave(GONE)
             await trio.sleep(0.05)
-            departures.restart(0, 2, 3)
+            scenario.restart(0, 2, 3)
             await trio.sleep(1.5)
-            departures.deliver_late_heartbeat()
+            scenario.deliver_late_heartbeat()
 
-        self.assertEqual(0, play(during).n_late_arrivals())
+        self.assertEqual(0, run_scenario(during).n_late_arrivals())
 
     def test_departure_outlasts_the_loss_of_all_nodes_at_once(self):
-        async def during(departures):
-            departures.leave(GONE)
+        async def during(scenario):
+            scenario.leave(GONE)
             await trio.sleep(0.2)
-            departures.restart(0, 1, 2, 3)
+            scenario.restart(0, 1, 2, 3)
             await trio.sleep(1.5)
-            departures.deliver_late_heartbeat()
+            scenario.deliver_late_heartbeat()
 
-        self.assertEqual(0, play(during).n_late_arrivals())
+        self.assertEqual(0, run_scenario(during).n_late_arrivals())
 
     def test_one_late_heartbeat_does_not_keep_a_server_in_use(self):
         # Neither other nodes nor the store know of the departure.
-        async def during(departures):
-            departures.leave(GONE)
-            departures.deployment.state.members.clear()
-            departures.restart(0)
+        async def during(scenario):
+            scenario.leave(GONE)
+            scenario.deployment.state.members.clear()
+            scenario.restart(0)
             await trio.sleep(1.5)
-            departures.deliver_late_heartbeat()
+            scenario.deliver_late_heartbeat()
 
-        found = play(during, n_hosts=1, seconds=16.0)
+        found = run_scenario(during, n_hosts=1, seconds=16.0)
         last = max(found.arrivals, default=0.0)
         heartbeat_s = found.leaving.node.cfg.bounds.heartbeat / 1_000.0
         self.assertLess(last, 1.5 + 2.0 * heartbeat_s + 0.5)
@@ -237,28 +237,28 @@
     def test_restarts_in_any_order_do_not_revoke_a_departure(self):
         for seed in range(12):
             during = partial(restart_at_random, random.Random(seed))
-            found = play(during, seed=seed)
+            found = run_scenario(during, seed=seed)
             self.assertEqual(0, found.n_late_arrivals(), seed)
 
     def test_later_start_under_the_same_identifier_is_used_by_all_nodes(self):
-        async def during(departures):
-            departures.leave(GONE)
+        async def during(scenario):
+            scenario.leave(GONE)
             await trio.sleep(0.3)
-            departures.restart(0)
+            scenario.restart(0)
             await trio.sleep(3.0)
-            departures.leaving.born = 2_000
-            departures.leaving.report()
+            scenario.leaving.born = 2_000
+            scenario.leaving.report()
             await trio.sleep(3.0)
-            departures.arrivals.clear()
+            scenario.arrivals.clear()
 
-        found = play(during, born=1_000)
+        found = run_scenario(during, born=1_000)
         self.assertGreater(len(found.arrivals), 0.1 * REQUESTS_PER_S)
 
 
 class TestStatedDeparture(TestCase):
     """Departures that servers state in their responses."""
 
-    def play(self, restarts_node):
+    def count_requests(self, restarts_node):
         """Return the requests from another host before and after a server's restart."""
 
         async def main():
@@ -294,7 +294,7 @@
     def test_server_is_used_by_all_nodes_after_it_started_again(self):
         for restarts_node in (False, True):
             self.numbers = itertools.count()
-            first, departed, restarted = self.play(restarts_node)
+            first, departed, restarted = self.count_requests(restarts_node)
             self.assertEqual((1, 0), (first, departed), restarts_node)
             self.assertGreater(restarted, 10, restarts_node)
 
