Send each identifier on a connection to a server only once

Cause: an answer was matched to a request by its identifier, where it has to be matched to one sending of it. A server refused a request, the next one refused it too, and with max_attempts 2 the node sent it to the first server again, mostly on the connection that the refusal had come on. A late copy of the refusal came first there and was taken for the answer to the second sending, while the server ran it.

Evidence: test_late_copy_of_a_refusal_is_not_the_answer_to_the_next_sending failed before with statuses 502, 502, 200, 200 and r0 run twice; test_connection_carries_an_identifier_only_once with one connection for both.

A connection now keeps the identifiers that it has carried and is not used for one of them again. Neither time nor a count of answers is involved: a call that comes again long after, as a nested call whose parent is repeated, is covered too. The identifiers are bounded by replacing a connection after 256 calls.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -49,11 +49,17 @@
 # it were reset while such a call is in flight, it would be unknown whether the call
 # ran.
 _NON_IDEMPOTENT_MAX_IDLE_MS = 1_000.0
+# Maximum number of calls that a connection carries, which bounds the memory for their
+# identifiers.
+_MAX_CALLS = 256
 
 
 class BackendConn:
     """One HTTP connection to the backend server, which carries one call at a time.
 
+    It never carries two calls with the same identifier: a late copy of the answer to
+    the first could not be told from the answer to the second.
+
     Parameters
     ----------
     cfg : MeshSettings
@@ -83,6 +89,7 @@
         self._reader = ResponseReader(cfg.names)
         self._unsent = b""
         self._got_mismatched_answer = False
+        self._carried: set[str] = set()
         self.idle_since: Milliseconds = 0.0
         self._max_idle_ms = _DEFAULT_IDLE_TIMEOUT_MS
         self._on_read: Callable[[BackendConn, Outcome | None], None] = _ignore
@@ -121,6 +128,10 @@
             return False
         return not self.is_expired(now)
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether it has carried a call with the identifier."""
+        return request_id in self._carried
+
     def is_reusable(self) -> bool:
         """Whether an idle connection is open and has no unread data."""
         return self._stream is not None and self._stream.is_reusable()
@@ -149,6 +160,7 @@
             self.close()
             return False
         self.call = call
+        self._carried.add(call.request_id)
         return True
 
     @property
@@ -253,7 +265,8 @@
 
     def _keep_or_close(self, answer: Response, clean: bool) -> None:
         """Keep the connection for the next call if it is clean, else close it."""
-        if not clean or not answer.keep_alive or self._unsent:
+        is_full = len(self._carried) >= _MAX_CALLS
+        if not clean or not answer.keep_alive or self._unsent or is_full:
             self.close()
             return
         self.idle_since = self._clock.now()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
@@ -102,13 +102,13 @@
         """Send a call on an idle connection, or on a new one."""
         assert self._nursery is not None
         now = self._clock.now()
-        conn = self._idle.take(pending.call.idempotent, now)
+        conn = self._idle.take(pending.call, now)
         while conn is not None:
             self._assign(conn, pending)
             if conn.send(pending.call, pending.deadline - now):
                 self._schedule_send_rest(conn)
                 return
-            conn = self._idle.take(pending.call.idempotent, now)
+            conn = self._idle.take(pending.call, now)
         conn = BackendConn(self._cfg, self._clock)
         self._assign(conn, pending)
         self._nursery.start_soon(self._open_and_send, conn, pending)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/idle_conns.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/idle_conns.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from fuchsiagap.core.clock import Milliseconds
     from fuchsiagap_node.core.mesh.backend_conn import BackendConn
+    from fuchsiagap_node.core.mesh.messages import Call
 
 
 class IdleConns:
@@ -27,17 +28,21 @@
         if conn in self._conns:
             self._conns.remove(conn)
 
-    def take(self, idempotent: bool, now: Milliseconds) -> BackendConn | None:
+    def take(self, call: Call, now: Milliseconds) -> BackendConn | None:
         """Remove and return the most recently used connection that may carry a call.
 
-        Connections found to have ended or to have unread data are closed.
+        Connections that have carried a call with the same identifier are skipped.
+        Those found to have ended or to have unread data are closed.
         """
         conns = self._conns
-        while conns and conns[-1].may_carry(idempotent, now):
-            conn = conns.pop()
-            if conn.is_reusable():
-                return conn
-            conn.close()
+        index = len(conns) - 1
+        while index >= 0 and conns[index].may_carry(call.idempotent, now):
+            if not conns[index].has_carried(call.request_id):
+                conn = conns.pop(index)
+                if conn.is_reusable():
+                    return conn
+                conn.close()
+            index -= 1
         return None
 
     def close_expired(self, now: Milliseconds) -> None:
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_late_responses.py
@@ -0,0 +1,68 @@
+"""Late copies of responses from a backend server, on connections that are reused."""
+
+from functools import partial
+
+import trio
+from testtools import TestCase
+
+from fuchsiagap.core.retries.backend_budget import ServiceRetryLimits
+from fuchsiagap_standins.mesh.backend_server import Behaviour, ResponseMode
+from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
+from fuchsiagap_standins.mesh.virtual import run_in_memory
+
+READ = a_route("read")
+WRITE = a_route("write", idempotent=False)
+AMPLE = ServiceRetryLimits(1.0, 100.0, 10_000.0)
+
+
+def refuse_once(n_copies, refused, req):
+    """Refuse a request the first time, with late copies of the refusal."""
+    if req.target in refused:
+        return Behaviour(work=50.0)
+    refused.add(req.target)
+    return Behaviour(ResponseMode.REFUSE, late_copies=n_copies)
+
+
+class TestLateResponses(TestCase):
+    def test_late_copy_of_a_refusal_is_not_the_answer_to_the_next_sending(self):
+        # The copy states that the request was not run, while it runs.
+        async def main(n_copies):
+            async with a_deployment(WRITE) as deployment:
+                hosts = [deployment.add("certs", budget=AMPLE) for _ in range(2)]
+                for host in hosts:
+                    host.server.behave = partial(refuse_once, n_copies, set())
+                await deployment.settle()
+                statuses = []
+                for n in range(4):
+                    answer = await hosts[0].send(f"/write/{n}", f"r{n}", method="POST")
+                    statuses.append(answer.status)
+                return statuses, dict(hosts[0].server.runs + hosts[1].server.runs)
+
+        once = {f"r{n}": 1 for n in range(4)}
+        for n_copies in (1, 2):
+            self.assertEqual(([200] * 4, once), run_in_memory(partial(main, n_copies)))
+
+    def test_connection_carries_an_identifier_only_once(self):
+        # A nested call comes again with its identifier when its parent is repeated.
+        async def main():
+            async with a_deployment(READ) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                for request_id in ("again", *(f"r{n}" for n in range(20)), "again"):
+                    await host.send("/read/1", request_id)
+                await trio.sleep(0.1)
+                return host.server.connections
+
+        self.assertEqual(2, run_in_memory(main))
+
+    def test_connection_is_replaced_after_many_requests(self):
+        # The identifiers that a connection has carried take memory.
+        async def main():
+            async with a_deployment(READ) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                for n in range(600):
+                    await host.send("/read/1", f"r{n}")
+                return host.server.connections
+
+        self.assertEqual(3, run_in_memory(main))
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -86,6 +86,10 @@
         Body of the response.
     headers : tuple of bytes, optional
         Further header lines of the response.
+    late_copies : int, default=0
+        Number of copies of the response sent ahead of the next one on the connection.
+    echoes_id : bool, default=True
+        Whether the response has the identifier of the request.
     """
 
     mode: ResponseMode = ResponseMode.ANSWER
@@ -93,6 +97,8 @@
     status: int = 200
     body: bytes = b"whole"
     headers: tuple[bytes, ...] = ()
+    late_copies: int = 0
+    echoes_id: bool = True
 
 
 class BackendServer:
@@ -146,6 +152,7 @@
         self.runs: Counter[str] = Counter()
         self.heads: list[Request] = []
         self.cancelled: list[str] = []
+        self._late_copies: dict[Stream, bytes] = {}
         self.connections = 0
         self.behave: Callable[[Request], Behaviour] = lambda _: Behaviour()
         self.health_headers: Callable[[], tuple[bytes, ...]] = tuple
@@ -210,11 +217,11 @@
             await stream.send(self._framed_response(421, "", b"", not_run=True))
             return
         behaviour = self.behave(req)
+        if stream in self._late_copies:
+            await stream.send(self._late_copies.pop(stream))
         if behaviour.mode is ResponseMode.REFUSE:
-            refusal = self._framed_response(
-                503, request_id, b"", not_run=True, headers=behaviour.headers
-            )
-            await stream.send(refusal)
+            behaviour = replace(behaviour, status=503, body=b"")
+            await self._respond(stream, request_id, behaviour, not_run=True)
             return
         self.runs[request_id] += 1
         if not await self._work(stream, behaviour.work):
@@ -259,7 +266,7 @@
         )
         match b.mode:
             case ResponseMode.ANSWER:
-                await stream.send(response)
+                await self._respond(stream, request_id, b)
             case ResponseMode.LATE_EXTRA:
                 await stream.send(response)
                 await trio.sleep(0.005)
@@ -279,6 +286,18 @@
             case _:
                 raise BrokenStream("the connection is closed on purpose")
 
+    async def _respond(
+        self, stream: Stream, request_id: str, b: Behaviour, not_run: bool = False
+    ) -> None:
+        """Send a complete response, and keep its late copies for the next one."""
+        echoed_id = request_id if b.echoes_id else ""
+        response = self._framed_response(
+            b.status, echoed_id, b.body, not_run, b.headers
+        )
+        if b.late_copies:
+            self._late_copies[stream] = response * b.late_copies
+        await stream.send(response)
+
     def _framed_response(
         self,
         status: int,
@@ -291,7 +310,7 @@
         names = self._names
         lines = [
             b"HTTP/1.1 %d X" % status,
-            names.request_id + b": " + request_id.encode(),
+            *([names.request_id + b": " + request_id.encode()] if request_id else []),
             names.signature + b": " + self.instance.encode(),
             names.instance + b": " + self.instance.encode(),
             *headers,
