Close a connection after an answer without an identifier

An error without an identifier was accepted as the answer to any request. A late copy of such an error was therefore taken for the answer to the next request on the connection: test_late_copy_of_an_error_without_identifier_answers_no_other_request got 200, 500, 500, 502 in place of 200, 500, 200, 200.

PROTOCOL.md: "Instances echo Request-Id in their responses", and of an extra response "the ID identifies it". An extra response without an identifier can thus only be a copy of an answer that had none. The connection on which such an answer came is now closed after it, so a copy reaches no other request, and an error without an identifier on an open connection belongs to the request in progress. Refusing such errors altogether would leave a request whose server sent one without an answer until its deadline.

Cost: a new connection for each answer without an identifier.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -254,10 +254,12 @@
                 self._got_mismatched_answer = True
                 continue
             self.response = answer
-            clean = index == len(answers) - 1 and not self._reader.in_message
-            self._keep_or_close(
-                answer, clean and not self._got_mismatched_answer and bool(data)
-            )
+            is_last = index == len(answers) - 1 and not self._reader.in_message
+            # A late copy of an answer without an identifier could not be told from the
+            # answer to the next call.
+            is_identified = answer.request_id == call.request_id
+            is_clean = is_last and is_identified and not self._got_mismatched_answer
+            self._keep_or_close(answer, is_clean and bool(data))
             return answer
         if not data:
             raise BadResponse("the connection ended without an answer")
@@ -285,9 +287,10 @@
 def _is_answer_to(answer: Response, request_id: str) -> bool:
     """Whether an answer belongs to a request.
 
-    An error need not echo the request's identifier. A success without an identifier is
-    not accepted, since it may be a late answer to an earlier request. If the request
-    has no identifier, any answer without one is accepted.
+    Servers echo the identifier, so a late copy of an earlier answer has that of its
+    request. An error without an identifier is accepted: a connection is closed after
+    such an answer, so it cannot be a copy of one. A success without an identifier is
+    not accepted. If the request has no identifier, any answer without one is accepted.
     """
     if answer.request_id:
         return answer.request_id == request_id
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_late_responses.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_late_responses.py
@@ -42,6 +42,25 @@
         for n_copies in (1, 2):
             self.assertEqual(([200] * 4, once), run_in_memory(partial(main, n_copies)))
 
+    def test_late_copy_of_an_error_without_identifier_answers_no_other_request(self):
+        async def main(mode):
+            async with a_deployment(WRITE) as deployment:
+                host = deployment.add("certs", budget=AMPLE)
+                error = Behaviour(mode, status=500, late_copies=1, echoes_id=False)
+                host.server.behave = lambda req: (
+                    error if req.target == b"/write/error" else Behaviour(work=50.0)
+                )
+                await deployment.settle()
+                statuses = []
+                for n, path in enumerate(["one", "error", "two", "three"]):
+                    answer = await host.send(f"/write/{path}", f"r{n}", method="POST")
+                    statuses.append(answer.status)
+                return statuses
+
+        for mode, status in ((ResponseMode.ANSWER, 500), (ResponseMode.REFUSE, 503)):
+            statuses = run_in_memory(partial(main, mode))
+            self.assertEqual([200, status, 200, 200], statuses)
+
     def test_connection_carries_an_identifier_only_once(self):
         # A nested call comes again with its identifier when its parent is repeated.
         async def main():
