--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP client for calls outside the request path, with one kept-alive connection."""
+"""HTTP client for calls outside the request path."""
 
 from __future__ import annotations
 
@@ -32,11 +32,17 @@
         ``IP:PORT``.
     names : HeaderNames
         Header names.
+    keeps_connection : bool, default=True
+        Whether a connection is kept for the next call. Must be False for a server that
+        may send a response twice, as its responses name no request.
     """
 
-    def __init__(self, address: str, names: HeaderNames) -> None:
+    def __init__(
+        self, address: str, names: HeaderNames, keeps_connection: bool = True
+    ) -> None:
         self._address = address
         self._names = names
+        self._keeps_connection = keeps_connection
         self._idle: Stream | None = None
 
     async def call(
@@ -72,7 +78,9 @@
         is_reusable = False
         try:
             response = await self._exchange(stream, method, target, body)
-            is_reusable = response.keep_alive and self._idle is None
+            is_reusable = (
+                self._keeps_connection and response.keep_alive and self._idle is None
+            )
         finally:
             if is_reusable:
                 self._idle = stream
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_notices.py
@@ -78,7 +78,7 @@
     """
 
     def __init__(self, cfg: MeshSettings, clock: Clock, event_log: EventLog) -> None:
-        self._health_client = HttpClient(cfg.backend, cfg.names)
+        self._health_client = HttpClient(cfg.backend, cfg.names, keeps_connection=False)
         self._clock = clock
         self._event_log = event_log
         self._instance = ""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_client.py
@@ -18,9 +18,11 @@
 class Server:
     """Server that delays each response as the target says, and counts connections."""
 
-    def __init__(self):
+    def __init__(self, sends_late_copies=False):
         self.address = free_address()
         self.connections = 0
+        self._sends_late_copies = sends_late_copies
+        self._last_responses = {}
 
     async def run(self):
         """Serve until cancelled."""
@@ -34,20 +36,23 @@
 
     async def _answer(self, stream, req):
         await trio.sleep(int(req.target[1:]) / 1_000.0)
-        await stream.send(
-            encode_response(FinalResponse(200, body=req.target), close=False)
-        )
+        if stream in self._last_responses:
+            await stream.send(self._last_responses[stream])
+        response = encode_response(FinalResponse(200, body=req.target), close=False)
+        if self._sends_late_copies:
+            self._last_responses[stream] = response
+        await stream.send(response)
 
 
-def run_with_server(main):
+def run_with_server(main, sends_late_copies=False, **options):
     """Run `main` with a client; return its result and the number of connections."""
 
     async def run():
-        server = Server()
+        server = Server(sends_late_copies)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(server.run)
             await trio.sleep(0.01)
-            client = HttpClient(server.address, HeaderNames())
+            client = HttpClient(server.address, HeaderNames(), **options)
             result = await main(client)
             nursery.cancel_scope.cancel()
         return result, server.connections
@@ -93,3 +98,10 @@
         (first, second), connections = run_with_server(main)
         self.assertIn("no answer within 100 ms", first)
         self.assertEqual((b"/0", 2), (second, connections))
+
+    def test_late_copy_of_a_health_check_is_not_the_response_to_the_next(self):
+        async def main(client):
+            return [await get(client, delay) for delay in (5, 0, 3)]
+
+        found = run_with_server(main, sends_late_copies=True, keeps_connection=False)
+        self.assertEqual(([b"/5", b"/0", b"/3"], 3), found)
