Keep no body of a request that has ended

Cause: memory grew with what had been served, not with what was in progress. Reference cycles kept bodies until the garbage collector ran, which counts objects and not bytes: exchange, callback and placement; pending call and reply callback, on links and at the local queue; pending call and its queue entry, also in entries that stay in the queue after they are dropped; a request with a quota and its waiter; connection and parser; link, the exception that ended it, and the frames of its task. Besides, parsers of idle connections kept the last body, and a waiting link task the last frames that it had sent.

Each cycle is now broken where the request ends, and readers drop what they have handed on. The collector's threshold is unchanged.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -213,6 +213,10 @@
             self._on_read(self, None if answer is None else _outcome(answer))
 
     def _handle_end(self, cause: BrokenStream) -> None:
+        self._read_end(cause)
+        self._reader.close()
+
+    def _read_end(self, cause: BrokenStream) -> None:
         """Handle the end of the connection, which truncates or completes an answer."""
         self.silent = isinstance(cause, SilentStream)
         if not isinstance(cause, EndedStream) or self.call is None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -50,6 +50,7 @@
     import random
     from collections.abc import Callable, Iterator
 
+    from fuchsiagap.core.backend_queue.ranked_queue import QueueItem
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.http_response import Response
@@ -450,7 +451,7 @@
     def reject_waiting(self, reason: str) -> None:
         """Reject all waiting calls; running calls are left to finish."""
         for waiting in self._queue.clear():
-            waiting.job.reply(NotRun(reason))
+            _leave_queue(waiting).reply(NotRun(reason))
 
     async def run(self) -> None:
         """Run the tasks of the connections and the health checks until cancelled."""
@@ -509,7 +510,7 @@
         if worst is None:
             return False
         has_limit = self.notices.rate() is not None
-        worst.job.reply(NotRun(NAMED_LIMIT if has_limit else QUEUE_FULL))
+        _leave_queue(worst).reply(NotRun(NAMED_LIMIT if has_limit else QUEUE_FULL))
         return True
 
     def _unusable_reason(self) -> str:
@@ -530,7 +531,9 @@
         A running call that is not idempotent is left to finish, and so is one that ends
         soon, as its abort would cost a connection.
         """
-        if pending.waiting is not None and self._queue.drop(pending.waiting):
+        waiting = pending.waiting
+        if waiting is not None and self._queue.drop(waiting):
+            _leave_queue(waiting)
             self._record_queue_timeout(pending)
             pending.reply(NotRun(CANCELLED))
         elif pending.conn is not None and pending.call.idempotent:
@@ -607,10 +610,11 @@
             waiting = self._queue.pop(self._clock.now())
             if waiting is None:
                 return
-            if self.instance() == waiting.job.call.instance:
-                self._start(waiting.job)
+            pending = _leave_queue(waiting)
+            if self.instance() == pending.call.instance:
+                self._start(pending)
             else:
-                waiting.job.reply(NotRun(LEAVING))
+                pending.reply(NotRun(LEAVING))
 
     def _record_queue_timeout(self, pending: PendingCall) -> None:
         """Count a nested call that got no slot before its deadline or cancellation."""
@@ -620,8 +624,9 @@
     def _expire(self, now: Milliseconds) -> None:
         """Expire calls past their deadline, and close connections idle for too long."""
         for waiting in self._queue.expired(now):
-            self._record_queue_timeout(waiting.job)
-            waiting.job.reply(NotRun(EXPIRED))
+            pending = _leave_queue(waiting)
+            self._record_queue_timeout(pending)
+            pending.reply(NotRun(EXPIRED))
         for pending, since in list(self._abandoned.items()):
             if now - since >= MAX_ABANDONED_MS or pending.open_calls:
                 self._abort(pending, MayHaveRun(CANCELLED))
@@ -719,6 +724,13 @@
         self.retry_budget.record_outcome(failed)
 
 
+def _leave_queue(waiting: QueueItem[PendingCall]) -> PendingCall:
+    """Return a call that has left the queue, without the references to its entry."""
+    pending = waiting.take_job()
+    pending.waiting = None
+    return pending
+
+
 def _refused_with_free_slot(response: Response) -> bool:
     """Whether a server refused a request although it states a free slot."""
     if not response.not_run:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -262,6 +262,7 @@
         """Cancel the requests in progress after the connection has ended."""
         self._abort()
         self._listener.remove(self)
+        self._reader.close()
 
     def _handle_data(self, data: bytes) -> None:
         try:
@@ -309,9 +310,12 @@
 
         def done(final: FinalResponse) -> None:
             exchange.final = final
+            exchange.placement = None
             self._flush()
 
-        exchange.placement = self._listener.begin(req, done, self._caller_credit)
+        placement = self._listener.begin(req, done, self._caller_credit)
+        if exchange.final is None:
+            exchange.placement = placement
 
     def _add_exchange(self, req: Request | None) -> _Exchange:
         exchange = _Exchange(req)
@@ -375,8 +379,9 @@
         cancelled, self._exchanges = self._exchanges, deque()
         self._listener.in_progress -= len(cancelled)
         for exchange in cancelled:
-            if exchange.placement is not None and exchange.final is None:
-                exchange.placement.cancel()
+            placement, exchange.placement = exchange.placement, None
+            if placement is not None:
+                placement.cancel()
 
 
 def _encode_exchange(exchange: _Exchange) -> bytes:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
@@ -149,6 +149,11 @@
         completed, self._completed = self._completed, []
         return completed
 
+    def close(self) -> None:
+        """Drop what has been read, and the parser, which refers back to this reader."""
+        self._reset()
+        del self._parser
+
     def on_message_begin(self) -> None:
         """Reset the state for a new request."""
         self._reset()
@@ -226,6 +231,7 @@
                 self._keys[0] if len(self._keys) == 1 else b"",
             )
         )
+        self._lines, self._body = [], []
 
     def _add_head_size(self, size: int) -> None:
         self._head_size += size
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -145,6 +145,11 @@
         self._finish(keep_alive=False)
         return self._take_completed()
 
+    def close(self) -> None:
+        """Drop what has been read, and the parser, which refers back to this reader."""
+        self._reset()
+        del self._parser
+
     def _take_completed(self) -> list[Response]:
         done, self._completed = self._completed, []
         return done
@@ -212,6 +217,7 @@
                 keep_alive,
             )
         )
+        self._lines, self._body = [], []
 
 
 def _join(earlier: bytes | None, value: bytes) -> bytes:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
@@ -253,10 +253,13 @@
         self.on_hello(hello)
 
     def _handle_call(self, link: FramedLink, sender: _Sender, call: Call) -> None:
-        pending_calls = sender.pending_calls
+        pending_calls, call_id = sender.pending_calls, call.call_id
 
         def reply(outcome: Outcome) -> None:
-            if pending_calls.pop(call.call_id, None) is not None:
+            # Refers to the pending call by number, as a cycle would keep its body.
+            pending = pending_calls.pop(call_id, None)
+            if pending is not None:
+                call = pending.call
                 queue = self._backend_queue
                 downstream = pending.summarize_nested_calls(
                     self.downstream_fullness(call.route),
@@ -268,13 +271,10 @@
                 sender.load_sent_at = self._clock.now()
                 load, offered = queue.reported_load, queue.offered()
                 sender.speed_sent = speed = queue.speed
-                link.post(
-                    Reply(call.call_id, outcome, load, offered, downstream, speed)
-                )
+                link.post(Reply(call_id, outcome, load, offered, downstream, speed))
 
         sender.called_at = self._clock.now()
-        pending = PendingCall.of(call, sender.called_at, reply)
-        pending_calls[call.call_id] = pending
+        pending_calls[call_id] = pending = PendingCall.of(call, sender.called_at, reply)
         self._backend_queue.submit(pending)
 
     def send_status(self) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
@@ -163,7 +163,11 @@
             if self._end_reason is None:
                 raise
         assert self._end_reason is not None
-        raise self._end_reason
+        try:
+            raise self._end_reason
+        finally:
+            # Its traceback refers to this frame, and so to this link.
+            self._end_reason = None
 
     def end(self, reason: Exception) -> None:
         """Close the link; `serve` raises the reason."""
@@ -179,20 +183,23 @@
             if self._end_reason is not None:
                 return
             self._wakeup = trio.Event()
-            frames, self._outbox = self._outbox, []
-            self._unsent = []
-            data = b"".join(frames) if len(frames) != 1 else frames[0]
-            if self._compressor is not None and data:
-                data = self._compressor.compress(data) + self._compressor.flush(
-                    zlib.Z_SYNC_FLUSH
-                )
-            uncompressed_hello, self._uncompressed_hello = self._uncompressed_hello, b""
             self._is_writing = True
-            await self._stream.send(
-                uncompressed_hello + data if uncompressed_hello else data
-            )
+            # No variable of this task refers to the data while it waits for more.
+            await self._stream.send(self._take_data())
             self._is_writing = False
 
+    def _take_data(self) -> bytes:
+        """Remove the queued frames; return them as they go to the connection."""
+        frames, self._outbox = self._outbox, []
+        self._unsent = []
+        data = b"".join(frames) if len(frames) != 1 else frames[0]
+        if self._compressor is not None and data:
+            data = self._compressor.compress(data) + self._compressor.flush(
+                zlib.Z_SYNC_FLUSH
+            )
+        uncompressed_hello, self._uncompressed_hello = self._uncompressed_hello, b""
+        return uncompressed_hello + data if uncompressed_hello else data
+
     def _handle_data(self, data: bytes) -> None:
         """Process received data; any exception ends the link."""
         self.last_received_at = self._clock.now()
@@ -224,8 +231,11 @@
             raise BadFrame(f"decompression failed: {exc}") from exc
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, and drop what has not been sent or parsed."""
         self._stream.close()
+        self._outbox = []
+        self._reader = FrameReader()
+        self._on_message = _ignore
 
 
 def _ignore(_: Message) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_peer.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/local_peer.py
@@ -64,9 +64,13 @@
         Unless the call is cancelled, `reply` is called once with its outcome and the
         summary of its nested calls.
         """
+        call_id = call.call_id
 
         def done(outcome: Outcome) -> None:
-            if self._pending_calls.pop(call.call_id, None) is not None:
+            # Refers to the pending call by number, as a cycle would keep its body.
+            pending = self._pending_calls.pop(call_id, None)
+            if pending is not None:
+                call = pending.call
                 self.target.others = self._backend_queue.reported_load
                 self.target.offered = self._backend_queue.offered()
                 self.target.speed = self._backend_queue.speed
@@ -81,8 +85,9 @@
                     ),
                 )
 
-        pending = PendingCall.of(call, self._clock.now(), done)
-        self._pending_calls[call.call_id] = pending
+        self._pending_calls[call_id] = pending = PendingCall.of(
+            call, self._clock.now(), done
+        )
         self._backend_queue.submit(pending)
         self.target.others = self._backend_queue.reported_load
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -190,6 +190,7 @@
         # The value of each entry is None; 0 stands for no entry.
         if self._context.in_progress.pop(self, 0) is None:
             self._notify_parent(failed=True)
+        self._done = _ignore
         self._cancel_call()
 
     def _has_reached_a_server(self) -> bool:
@@ -453,7 +454,12 @@
             self._context.served.record_end(self._route.name, final.status < 500, now)
         took = now - self._started
         self._context.event_log.count_outcome(self._route.name, str(final.status), took)
-        self._done(final)
+        done, self._done = self._done, _ignore
+        done(final)
 
     def _elapsed_ms(self) -> Milliseconds:
         return round(self._context.clock.now() - self._started, 1)
+
+
+def _ignore(_: FinalResponse) -> None:
+    """Ignore the response to a request that has ended."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/quotas.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/quotas.py
@@ -81,11 +81,13 @@
         """Pass on the decision, unless there is one already."""
         if not self.is_decided:
             self.is_decided = True
-            self.on_decision(decision)
+            on_decision, self.on_decision = self.on_decision, _ignore
+            on_decision(decision)
 
     def cancel(self) -> None:
         """Drop the request, since its caller has disconnected."""
         self.is_decided = True
+        self.on_decision = _ignore
 
 
 @dataclass(slots=True)
@@ -103,6 +105,10 @@
         return sum(not waiter.is_decided for waiter in self.waiting)
 
 
+def _ignore(_: QuotaDecision) -> None:
+    """Ignore the decision on a request that has ended."""
+
+
 _WITHIN = QuotaDecision(Verdict.WITHIN)
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -152,6 +152,7 @@
         """Stop reading and call `on_end`, once."""
         self.pause()
         on_end, self._on_end = self._on_end, _ignore
+        self._on_data = _ignore
         self._run_callback(on_end, reason)
 
     def _run_callback(
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/serving.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/serving.py
@@ -31,8 +31,9 @@
     """
     try:
         while data := await stream.receive():
-            for req in reader.feed(data):
-                await answer(stream, req)
+            requests = reader.feed(data)
+            while requests:
+                await answer(stream, requests.pop(0))
     except BrokenStream:
         pass
     finally:
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/ranked_queue.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/ranked_queue.py
@@ -72,6 +72,15 @@
     is_nested: bool
     dropped: bool = False
 
+    def take_job(self) -> JobT:
+        """Return the request and drop the reference to it.
+
+        A dropped item may stay in the queue for some time; its request must not.
+        """
+        job = self.job
+        del self.job
+        return job
+
 
 @dataclass(slots=True)
 class _RankQueue(Generic[JobT]):
