Pass large bodies on without whole copies

A frame was encoded as payload, then copied behind its prefix; the unsent rest was copied again; a received frame was copied out of the buffer, copied again and decoded with a third copy; head and body of a request or response were joined.

Bodies of 64 KiB or more are now sent as parts of their own through memory views, compressed in pieces between data centres, and copied once out of a received frame. The format on the wire is the same byte for byte, so nodes of earlier releases stay linked (test_parts_are_the_same_bytes_as_an_undivided_frame). Smaller bodies take the same way as before.

test_body_is_not_copied_when_sent_and_once_when_received bounds both ends; without the change it cannot pass, as encode and decode alone held two and three copies.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from fuchsiagap_node.core.mesh.http_response import BadResponse, ResponseReader
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.outcome import (
     OTHER_INCARNATION,
     Answered,
@@ -29,6 +30,7 @@
     from fuchsiagap_node.core.mesh.outcome import Outcome
     from fuchsiagap_node.core.mesh.poller import Poller
     from fuchsiagap_node.core.mesh.settings import MeshSettings
+    from fuchsiagap_node.core.mesh.stream import Buffer
 
 # Status by which a server answers that it is not the incarnation named in a request.
 MISDIRECTED_REQUEST = 421
@@ -87,7 +89,7 @@
         self._deadline_line = cfg.names.deadline + b": %d\r\n\r\n"
         self._stream: Stream | None = None
         self._reader = ResponseReader(cfg.names)
-        self._unsent = b""
+        self._unsent: list[Buffer] = []
         self._got_mismatched_answer = False
         self._carried: set[str] = set()
         self.idle_since: Milliseconds = 0.0
@@ -153,9 +155,11 @@
             closed then.
         """
         assert self._stream is not None
-        data = call.head + self._deadline_line % int(left) + call.body
+        head = call.head + self._deadline_line % int(left)
+        is_large = len(call.body) >= LARGE_BODY_BYTES
+        parts = [head, call.body] if is_large else [head + call.body]
         try:
-            self._unsent = self._stream.send_some(data)
+            self._unsent = self._stream.send_parts(parts)
         except BrokenStream:
             self.close()
             return False
@@ -176,10 +180,11 @@
         """
         assert self._stream is not None
         try:
-            await self._stream.send(self._unsent)
+            for part in self._unsent:
+                await self._stream.send(part)
         except BrokenStream:
             return
-        self._unsent = b""
+        self._unsent = []
 
     def read_answers(
         self, poller: Poller, on_read: Callable[[BackendConn, Outcome | None], None]
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -15,6 +15,7 @@
     FinalResponse,
 )
 from fuchsiagap_node.core.mesh.http_request import BadRequest, RequestReader
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
@@ -28,7 +29,7 @@
     from fuchsiagap_node.core.mesh.poller import Poller
     from fuchsiagap_node.core.mesh.quota_admission import Cancellable
     from fuchsiagap_node.core.mesh.settings import MeshSettings
-    from fuchsiagap_node.core.mesh.stream import Stream
+    from fuchsiagap_node.core.mesh.stream import Buffer, Stream
 
 # Maximum number of pipelined requests of one connection that are processed at the same
 # time. Further requests remain unread in the socket, so that TCP flow control slows the
@@ -56,7 +57,12 @@
 
 
 def encode_response(final: FinalResponse, close: bool) -> bytes:
-    """Encode a final response as HTTP/1.1.
+    """Encode a final response as HTTP/1.1; see `encode_head`."""
+    return encode_head(final, close) + final.body
+
+
+def encode_head(final: FinalResponse, close: bool) -> bytes:
+    """Encode the head of a final response as HTTP/1.1.
 
     Parameters
     ----------
@@ -75,7 +81,6 @@
     if close:
         parts.append(b"Connection: close\r\n")
     parts.append(b"Content-Length: %d\r\n\r\n" % len(final.body))
-    parts.append(final.body)
     return b"".join(parts)
 
 
@@ -232,7 +237,7 @@
         self._last_active_at = listener.now()
         self._exchanges: deque[_Exchange] = deque()
         self._caller_credit = CallerCredit()
-        self._unsent = b""
+        self._unsent: list[Buffer] = []
         self._is_paused = False
         self._ignores_input = False
 
@@ -342,7 +347,7 @@
                 self._listener.closing and last
             )
             try:
-                self._unsent = self.stream.send_some(_encode_exchange(exchange))
+                self._unsent = self.stream.send_parts(_encode_exchange(exchange))
             except BrokenStream:
                 self._abort()
                 return
@@ -354,11 +359,12 @@
     async def _send_rest(self) -> None:
         """Send the rest of a response to a caller that reads slowly."""
         try:
-            await self.stream.send(self._unsent)
+            for part in self._unsent:
+                await self.stream.send(part)
         except BrokenStream:
             self._abort()
             return
-        self._unsent = b""
+        self._unsent = []
         if self._exchanges:
             self._sent()
             self._flush()
@@ -384,9 +390,15 @@
                 placement.cancel()
 
 
-def _encode_exchange(exchange: _Exchange) -> bytes:
-    """Encode the response of an exchange, without its body for HEAD."""
+def _encode_exchange(exchange: _Exchange) -> list[bytes]:
+    """Encode the response of an exchange, without its body for HEAD.
+
+    A large body is a part by itself, so that it is not copied.
+    """
     final = exchange.final
     assert final is not None
-    data = encode_response(final, exchange.closes_connection)
-    return data[: len(data) - len(final.body)] if exchange.is_head else data
+    head = encode_head(final, exchange.closes_connection)
+    if exchange.is_head:
+        return [head]
+    is_large = len(final.body) >= LARGE_BODY_BYTES
+    return [head, final.body] if is_large else [head + final.body]
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from typing import cast
+from typing import Any, cast
 
 import cbor2
 
@@ -18,6 +18,9 @@
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
 from fuchsiagap.core.watching.watcher_rank import UpdateSource
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
+from fuchsiagap_node.core.mesh.large_frames import decode_fields as decode_large
+from fuchsiagap_node.core.mesh.large_frames import encode_parts as encode_large
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
     NO_RATE,
@@ -85,6 +88,22 @@
     return len(payload).to_bytes(_PREFIX_BYTES, "big") + payload
 
 
+def encode_parts(message: Message, level: int = 0) -> list[bytes]:
+    """Encode a message as a frame in parts, of which a large body is one by itself."""
+    match message:
+        case Call(body=bytes() as body) | Reply(outcome=Answered(body=bytes() as body)):
+            if len(body) < LARGE_BODY_BYTES:
+                return [encode(message, level)]
+        case _:
+            return [encode(message, level)]
+    fields = _encode_fields(message)
+    if level > 0:
+        fields += _encode_extension(message)
+    before, body, after = encode_large(fields, body)
+    size = len(before) + len(body) + len(after)
+    return [size.to_bytes(_PREFIX_BYTES, "big") + before, body, after]
+
+
 def _encode_extension(message: Message) -> list[object]:
     """Return the fields that level 1 adds at the end; empty if all are defaults."""
     match message:
@@ -192,13 +211,13 @@
             return [_MAY_HAVE_RUN, *common, why]
 
 
-def decode(payload: bytes) -> Message:
+def decode(payload: bytes | memoryview) -> Message:
     """Decode the payload of a frame.
 
     Parameters
     ----------
-    payload : bytes
-        Frame without its length prefix.
+    payload : bytes or memoryview
+        Frame without its length prefix; a view for one that may have a large body.
 
     Raises
     ------
@@ -206,7 +225,10 @@
         If the payload is not a valid message.
     """
     try:
-        fields = cbor2.loads(payload)
+        if isinstance(payload, memoryview):
+            fields: list[Any] = decode_large(payload)
+        else:
+            fields = cbor2.loads(payload)
         return _decode_fields(fields[0], fields[1:])
     except (
         cbor2.CBORDecodeError,
@@ -486,7 +508,11 @@
                 raise BadFrame(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES} bytes")
             if len(buffer) < body + size:
                 break
-            message = decode(bytes(buffer[body : body + size]))
+            if size < LARGE_BODY_BYTES:
+                message = decode(bytes(buffer[body : body + size]))
+            else:
+                with memoryview(buffer) as view, view[body : body + size] as payload:
+                    message = decode(payload)
             messages.append(message)
             start = body + size
             if isinstance(message, Hello):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
@@ -8,17 +8,18 @@
 
 import trio
 
-from fuchsiagap_node.core.mesh.frames import BadFrame, FrameReader, encode
+from fuchsiagap_node.core.mesh.frames import BadFrame, FrameReader, encode_parts
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.message_level import is_understood, message_level
 from fuchsiagap_node.core.mesh.messages import Cancel, Hello, Message
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.poller import Poller
-    from fuchsiagap_node.core.mesh.stream import Stream
+    from fuchsiagap_node.core.mesh.stream import Buffer, Stream
 
 # Milliseconds after which the kernel resets a link whose data is not acknowledged.
 _ACK_TIMEOUT_MS = 3_000.0
@@ -54,7 +55,7 @@
         stream.set_user_timeout(_ACK_TIMEOUT_MS)
         self._stream = stream
         self._clock = clock
-        self._outbox: list[bytes] = []
+        self._outbox: list[Buffer] = []
         self._uncompressed_hello = b""
         self._unsent: list[int] = []
         self._wakeup = trio.Event()
@@ -81,30 +82,30 @@
         """
         if not is_understood(message, self._level):
             return
-        frame = encode(message, self._level)
+        frame = encode_parts(message, self._level)
         if self._compressor is None and not self._outbox and not self._is_writing:
             self._send_now(frame, call_id)
             return
         if call_id:
             self._unsent.append(call_id)
-        self._outbox.append(frame)
+        self._outbox += frame
         self._wakeup.set()
 
-    def _send_now(self, frame: bytes, call_id: int) -> None:
+    def _send_now(self, frame: list[bytes], call_id: int) -> None:
         """Send a frame immediately, without waking the writing task.
 
         Frames between data centres wait for the writing task instead, because messages
         compress better together.
         """
         try:
-            rest = self._stream.send_some(frame)
+            rest = self._stream.send_parts(frame)
         except BrokenStream:
             # No byte of it was sent; the reader notices the closed connection.
             self._unsent.append(call_id)
             self._stream.close()
             return
         if rest:
-            self._outbox.append(rest)
+            self._outbox += rest
             self._wakeup.set()
 
     def post_hello(self, hello: Hello, compressed: bool) -> None:
@@ -184,21 +185,46 @@
                 return
             self._wakeup = trio.Event()
             self._is_writing = True
-            # No variable of this task refers to the data while it waits for more.
-            await self._stream.send(self._take_data())
+            await self._send_queued()
             self._is_writing = False
 
-    def _take_data(self) -> bytes:
-        """Remove the queued frames; return them as they go to the connection."""
+    async def _send_queued(self) -> None:
+        """Send the queued frames.
+
+        A function of its own, so that no variable keeps the last frame.
+        """
+        for data in self._take_data():
+            await self._stream.send(data)
+
+    def _take_data(self) -> Iterator[Buffer]:
+        """Remove the queued frames, and yield them as they go to the connection."""
+        uncompressed_hello, self._uncompressed_hello = self._uncompressed_hello, b""
         frames, self._outbox = self._outbox, []
         self._unsent = []
-        data = b"".join(frames) if len(frames) != 1 else frames[0]
-        if self._compressor is not None and data:
-            data = self._compressor.compress(data) + self._compressor.flush(
-                zlib.Z_SYNC_FLUSH
-            )
-        uncompressed_hello, self._uncompressed_hello = self._uncompressed_hello, b""
-        return uncompressed_hello + data if uncompressed_hello else data
+        if uncompressed_hello:
+            yield uncompressed_hello
+        if any(len(frame) >= LARGE_BODY_BYTES for frame in frames):
+            yield from self._compress_each(frames)
+        elif frames:
+            data = b"".join(frames) if len(frames) != 1 else frames[0]
+            if self._compressor is not None:
+                data = self._compressor.compress(data) + self._compressor.flush(
+                    zlib.Z_SYNC_FLUSH
+                )
+            yield data
+
+    def _compress_each(self, frames: list[Buffer]) -> Iterator[Buffer]:
+        """Yield frames in small parts if they are compressed, to hold no copy."""
+        if self._compressor is None:
+            yield from frames
+            return
+        for frame in frames:
+            view = memoryview(frame)
+            for start in range(0, len(view), LARGE_BODY_BYTES):
+                data = self._compressor.compress(view[start : start + LARGE_BODY_BYTES])
+                if data:
+                    yield data
+        yield self._compressor.flush(zlib.Z_SYNC_FLUSH)
 
     def _handle_data(self, data: bytes) -> None:
         """Process received data; any exception ends the link."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -16,12 +16,13 @@
 from fuchsiagap.core.clock import MS_PER_S
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from fuchsiagap.core.clock import Milliseconds
     from fuchsiagap_node.core.mesh.poller import Poller
 
 Argument = TypeVar("Argument")
+Buffer: TypeAlias = "bytes | memoryview"
 
 # Maximum bytes of one read: many small messages, or a large part of a large body.
 READ_BYTES = 65_536
@@ -191,12 +192,31 @@
             except (OSError, trio.ClosedResourceError) as exc:
                 raise BrokenStream(str(exc)) from exc
 
-    async def send(self, data: bytes) -> None:
+    def send_parts(self, parts: Iterable[Buffer]) -> list[Buffer]:
+        """Send as much as the socket accepts without waiting, and return the rest.
+
+        Parameters
+        ----------
+        parts : iterable of bytes or memoryview
+            Parts of the data. A large part is never copied.
+        """
+        unsent: list[Buffer] = []
+        for part in parts:
+            if unsent:
+                unsent.append(part)
+                continue
+            large = len(part) >= READ_BYTES
+            rest = self.send_some(memoryview(part) if large else part)
+            if rest:
+                unsent.append(rest)
+        return unsent
+
+    async def send(self, data: Buffer) -> None:
         """Send all data.
 
         Parameters
         ----------
-        data : bytes
+        data : bytes or memoryview
             Bytes to send.
 
         Raises
@@ -204,7 +224,8 @@
         BrokenStream
             If the connection was reset, or closed by this end.
         """
-        rest = self.send_some(data)
+        large = len(data) >= READ_BYTES
+        rest = self.send_some(memoryview(data) if large else data)
         if not rest:
             return
         view = memoryview(rest)
@@ -222,7 +243,7 @@
             except (OSError, trio.ClosedResourceError) as exc:
                 raise BrokenStream(str(exc)) from exc
 
-    def send_some(self, data: bytes) -> bytes:
+    def send_some(self, data: Buffer) -> Buffer:
         """Send as much as the socket accepts without waiting, and return the rest."""
         self._check_open()
         try:
