Bound the memory for bodies in progress

A node now counts the bodies that it holds against a bound derived from the memory that the platform grants it (limits, memoryMb): requests that are read or in progress, calls of other nodes, answers that are read from the server, that wait for a link, or that a caller has not read yet, and frames received in part.

- A request whose body does not fit is refused as not run as soon as its head is read, and the rest of its body is skipped; a chunked one once it no longer fits.
Worse ranks are refused while less is in use.
While memory is short, requests without a body are refused too, as their answers may be large.
- A node skips a large frame that does not fit and answers it as not run, or fails a large answer as unknown; the link stays open.
Frames between data centres are decompressed in small parts, as they may expand a thousandfold.
- A caller that reads nothing of its answer for the idle timeout is disconnected.

New on the metrics address: body_memory_bytes, body_memory_limit_bytes, body_memory_refusals; in the log: "refused" with the cause "no memory for the body".

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -25,6 +25,7 @@
     from collections.abc import Callable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.body_memory import BodyMemory
     from fuchsiagap_node.core.mesh.http_response import Response
     from fuchsiagap_node.core.mesh.messages import Call
     from fuchsiagap_node.core.mesh.outcome import Outcome
@@ -68,6 +69,8 @@
         Settings of the node.
     clock : Clock
         Time in milliseconds.
+    memory : BodyMemory, optional
+        Memory for the bodies of answers; by default unlimited.
 
     Attributes
     ----------
@@ -83,12 +86,14 @@
         Whether it broke because the other end stopped responding.
     """
 
-    def __init__(self, cfg: MeshSettings, clock: Clock) -> None:
+    def __init__(
+        self, cfg: MeshSettings, clock: Clock, memory: BodyMemory | None = None
+    ) -> None:
         self._cfg = cfg
         self._clock = clock
         self._deadline_line = cfg.names.deadline + b": %d\r\n\r\n"
         self._stream: Stream | None = None
-        self._reader = ResponseReader(cfg.names)
+        self._reader = ResponseReader(cfg.names, memory)
         self._unsent: list[Buffer] = []
         self._got_mismatched_answer = False
         self._carried: set[str] = set()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from fuchsiagap.core.clock import Clock, Milliseconds
+    from fuchsiagap_node.core.mesh.body_memory import BodyMemory
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.http_response import Response
     from fuchsiagap_node.core.mesh.pending_call import PendingCall
@@ -40,6 +41,8 @@
         Called with each call that has ended and its outcome.
     poller : Poller
         Reads the connections.
+    memory : BodyMemory
+        Memory for the bodies of answers.
 
     Attributes
     ----------
@@ -62,7 +65,9 @@
         event_log: EventLog,
         settle: Callable[[PendingCall, Outcome], None],
         poller: Poller,
+        memory: BodyMemory,
     ) -> None:
+        self._memory = memory
         self._poller = poller
         self._all: set[BackendConn] = set()
         self._cfg = cfg
@@ -109,7 +114,7 @@
                 self._schedule_send_rest(conn)
                 return
             conn = self._idle.take(pending.call, now)
-        conn = BackendConn(self._cfg, self._clock)
+        conn = BackendConn(self._cfg, self._clock, self._memory)
         self._assign(conn, pending)
         self._nursery.start_soon(self._open_and_send, conn, pending)
 
@@ -244,7 +249,7 @@
 
     async def _probe_server(self) -> None:
         """Open a connection, and keep it for the next call if the server accepts it."""
-        conn = BackendConn(self._cfg, self._clock)
+        conn = BackendConn(self._cfg, self._clock, self._memory)
         self._all.add(conn)
         try:
             await conn.open()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -25,6 +25,7 @@
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
 from fuchsiagap_node.core.mesh.backend_conns import MIN_TIME_LEFT_MS, BackendConns
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
 from fuchsiagap_node.core.mesh.crash_reports import CrashReports
 from fuchsiagap_node.core.mesh.outcome import (
     CANCELLED,
@@ -92,6 +93,8 @@
         Rounds this node's share of the retry budget.
     poller : Poller
         Reads the connections to the server.
+    memory : BodyMemory, optional
+        Memory for bodies; by default unlimited.
 
     Attributes
     ----------
@@ -127,6 +130,7 @@
         event_log: EventLog,
         rng: random.Random,
         poller: Poller,
+        memory: BodyMemory | None = None,
     ) -> None:
         self._cfg = cfg
         self.reports = CrashReports(cfg.quarantine, cfg.service, clock, rng, event_log)
@@ -140,7 +144,9 @@
         self.rank_stats = RankStats()
         self._queue_timeouts = QueueTimeouts()
         self._incarnation = IncarnationTracker(clock)
-        self._conns = BackendConns(cfg, clock, event_log, self._settle, poller)
+        self._conns = BackendConns(
+            cfg, clock, event_log, self._settle, poller, memory or BodyMemory()
+        )
         self._at_server: dict[PendingCall, None] = {}
         self._by_id: dict[str, PendingCall] = {}
         self._notified_instance = ""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -10,6 +10,7 @@
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.routes.model import CallerLimits
 from fuchsiagap.core.shedding.fair_admission import CallerCredit
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
 from fuchsiagap_node.core.mesh.final_response import (
     DEFAULT_RETRY_AFTER_MS,
     FinalResponse,
@@ -35,6 +36,8 @@
 # time. Further requests remain unread in the socket, so that TCP flow control slows the
 # caller down and this node does not buffer them.
 _MAX_PIPELINED = 16
+# Bytes of a response that a slow caller has to read within the idle timeout.
+_PROGRESS_BYTES = 65_536
 # Milliseconds between two checks for timed-out connections. One pass over all
 # connections costs less than a `move_on_after` for each read, which takes 14 us.
 IDLE_CHECK_INTERVAL_MS = 500.0
@@ -103,6 +106,8 @@
         Event log and counters.
     poller : Poller
         Reports readable connections.
+    memory : BodyMemory, optional
+        Memory for bodies; by default unlimited.
 
     Attributes
     ----------
@@ -112,6 +117,8 @@
         Whether connections are closed after their last pending response.
     in_progress : int
         Requests whose response has not been sent completely.
+    memory : BodyMemory
+        Memory for bodies.
     """
 
     def __init__(
@@ -121,8 +128,10 @@
         clock: Clock,
         event_log: EventLog,
         poller: Poller,
+        memory: BodyMemory | None = None,
     ) -> None:
         self._poller = poller
+        self.memory = memory or BodyMemory()
         self._cfg = cfg
         self._entry = entry
         self._clock = clock
@@ -176,7 +185,9 @@
 
     def reader(self) -> RequestReader:
         """Return a request reader with the active limits."""
-        return RequestReader(self._cfg.names, self.limits)
+        return RequestReader(
+            self._cfg.names, self.limits, self.memory, self._entry.rank_of
+        )
 
     def record_suspension(self, suspended: Milliseconds) -> None:
         """Record a suspension of the host, in ms; requests may have queued up."""
@@ -193,6 +204,9 @@
         self, req: Request, done: OnFinalResponse, caller_credit: CallerCredit
     ) -> Cancellable | None:
         """Start handling a request; an unexpected exception is answered with 502."""
+        if req.is_refused:
+            done(self._entry.refuse_without_memory(req))
+            return None
         req = self._deduct_suspension(req)
         if req.wait is not None and req.wait <= 0.0:
             done(FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS))
@@ -213,13 +227,15 @@
 class _Exchange:
     """A request of a connection and, once available, its final response."""
 
-    __slots__ = ("closes_connection", "final", "is_head", "placement")
+    __slots__ = ("closes_connection", "final", "is_head", "n_held", "placement")
 
     def __init__(self, req: Request | None = None) -> None:
         self.is_head = req is not None and req.method == b"HEAD"
         self.closes_connection = req is None or not req.keep_alive
         self.placement: Cancellable | None = None
         self.final: FinalResponse | None = None
+        # Bytes of the request, then of the response, counted in the memory for bodies.
+        self.n_held = 0 if req is None else req.n_held
 
 
 class _Connection:
@@ -245,10 +261,15 @@
         return not self._exchanges and not self._reader.in_message
 
     def is_timed_out(self, now: Milliseconds) -> bool:
-        """Whether the idle timeout or the header timeout has passed."""
+        """Whether the idle timeout or the header timeout has passed.
+
+        While a response is sent, the idle timeout applies to the reading of the caller.
+        """
+        limits = self._listener.limits
+        if self._unsent:
+            return now - self._last_active_at > limits.idle_timeout
         if self._exchanges:
             return False
-        limits = self._listener.limits
         wait = limits.header_timeout if self._reader.in_message else limits.idle_timeout
         return now - self._last_active_at > wait
 
@@ -316,6 +337,9 @@
         def done(final: FinalResponse) -> None:
             exchange.final = final
             exchange.placement = None
+            self._listener.memory.release(exchange.n_held)
+            exchange.n_held = len(final.body)
+            self._listener.memory.hold(exchange.n_held)
             self._flush()
 
         placement = self._listener.begin(req, done, self._caller_credit)
@@ -360,7 +384,10 @@
         """Send the rest of a response to a caller that reads slowly."""
         try:
             for part in self._unsent:
-                await self.stream.send(part)
+                for start in range(0, len(part), _PROGRESS_BYTES):
+                    view = memoryview(part)[start : start + _PROGRESS_BYTES]
+                    await self.stream.send(view)
+                    self._last_active_at = self._listener.now()
         except BrokenStream:
             self._abort()
             return
@@ -372,6 +399,7 @@
     def _sent(self) -> None:
         """Remove the exchange whose response was sent completely."""
         exchange = self._exchanges.popleft()
+        self._listener.memory.release(exchange.n_held)
         self._listener.in_progress -= 1
         self._last_active_at = self._listener.now()
         self._resume_reading()
@@ -385,6 +413,8 @@
         cancelled, self._exchanges = self._exchanges, deque()
         self._listener.in_progress -= len(cancelled)
         for exchange in cancelled:
+            self._listener.memory.release(exchange.n_held)
+            exchange.n_held = 0
             placement, exchange.placement = exchange.placement, None
             if placement is not None:
                 placement.cancel()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
 from fuchsiagap_node.core.mesh.final_response import (
     DEFAULT_RETRY_AFTER_MS,
     FinalResponse,
 )
 from fuchsiagap_node.core.mesh.metered_request import MeteredRequest
+from fuchsiagap_node.core.mesh.outcome import NO_MEMORY
 from fuchsiagap_node.core.mesh.over_quota import quota_refusal
 from fuchsiagap_node.core.mesh.placement import Placement
 
@@ -67,6 +69,8 @@
     ----------
     table : RouteTable or None
         Active routes; None until a configuration is known.
+    memory : BodyMemory
+        Memory for bodies.
     stopping : bool
         Whether new requests are refused because the process is about to exit.
     parent_of : callable
@@ -94,6 +98,7 @@
         self._rotation = rotation
         self._event_log = event_log
         self.table: RouteTable | None = None
+        self.memory = BodyMemory()
         self.stopping = False
         self.parent_of: Callable[[str], PendingCall | None] = _no_parent
 
@@ -186,6 +191,23 @@
         placement.start()
         return placement
 
+    def rank_of(self, host: str, target: bytes, request_id: str) -> int:
+        """Return the priority rank of a request before its body has been read."""
+        parent = self.parent_of(request_id)
+        if parent is not None:
+            return parent.call.rank
+        path = target.partition(b"?")[0].decode("latin-1")
+        route = None if self.table is None else self.table.find(host, path)
+        return 0 if route is None else route.priority
+
+    def refuse_without_memory(self, req: Request) -> FinalResponse:
+        """Return the response to a request for whose body there is no memory."""
+        self._event_log.counts["refused_without_memory", ""] += 1
+        self._event_log.event(
+            "refused", request=req.request_id, cause=NO_MEMORY, held=self.memory.held
+        )
+        return FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS)
+
     def admit_within_quota(
         self, request: WorkspaceRequest, done: OnFinalResponse, waited: Milliseconds
     ) -> Placement | None:
@@ -243,6 +265,9 @@
         """
         if self.stopping:
             return FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS)
+        if not self.memory.admits(0, route.priority):
+            # Its response may be large.
+            return self.refuse_without_memory(req)
         kind_share = self._admission.admitted_share(service, route)
         share = min(kind_share, covered)
         own = self._workspace_admission.share_for(route, workspace, share)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from typing import Any, cast
+from typing import Any, NamedTuple, TypeAlias, cast
 
 import cbor2
 
@@ -18,7 +18,8 @@
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
 from fuchsiagap.core.watching.watcher_rank import UpdateSource
-from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES, read_integers
 from fuchsiagap_node.core.mesh.large_frames import decode_fields as decode_large
 from fuchsiagap_node.core.mesh.large_frames import encode_parts as encode_large
 from fuchsiagap_node.core.mesh.messages import (
@@ -49,6 +50,8 @@
 # Maximum size of a frame: a body at the default limit of 64 MB and its head.
 MAX_FRAME_BYTES = 80_000_000
 _PREFIX_BYTES = 4
+# Bytes after which the kind and the call of a message are known.
+_MIN_HEAD_BYTES = 32
 # Offered load is sent in replies as an integer of tenths of a slot: a small integer
 # takes 2 bytes where a float takes 9, and most of a reply is its head.
 _OFFERED_SCALE = 10
@@ -66,6 +69,33 @@
 _NO_START = 0
 
 
+class DroppedCall(NamedTuple):
+    """A call that was skipped, because there is no memory for its body.
+
+    Parameters
+    ----------
+    call_id : int
+        Identifier of the call.
+    """
+
+    call_id: int
+
+
+class DroppedAnswer(NamedTuple):
+    """An answer that was skipped, because there is no memory for its body.
+
+    Parameters
+    ----------
+    call_id : int
+        Identifier of the call that was answered.
+    """
+
+    call_id: int
+
+
+Dropped: TypeAlias = DroppedCall | DroppedAnswer
+
+
 class BadFrame(Exception):
     """A frame that is not a valid message."""
 
@@ -477,15 +507,26 @@
 
 
 class FrameReader:
-    """Incremental parser of the messages on one link."""
+    """Incremental parser of the messages on one link.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    memory : BodyMemory, optional
+        Memory for bodies; by default unlimited. A large call or answer that does not
+        fit is skipped.
+    """
+
+    def __init__(self, memory: BodyMemory | None = None) -> None:
         self._buffer = bytearray()
+        self._memory = memory or BodyMemory()
+        self._n_held = 0
+        self._n_skipped = 0
 
-    def feed(self, data: bytes) -> list[Message]:
+    def feed(self, data: bytes) -> list[Message | Dropped]:
         """Parse data and return the messages that it completes.
 
-        Parsing stops after a `Hello`, because it determines how the rest is encoded.
+        Parsing stops after a `Hello`, because it determines how the rest is encoded. A
+        skipped message is returned as soon as that is known.
 
         Parameters
         ----------
@@ -498,8 +539,10 @@
             If the data is not a valid message; the link has to be closed.
         """
         buffer = self._buffer
+        if self._n_skipped:
+            data = self._skip(data)
         buffer += data
-        messages: list[Message] = []
+        messages: list[Message | Dropped] = []
         start = 0
         while len(buffer) - start >= _PREFIX_BYTES:
             body = start + _PREFIX_BYTES
@@ -507,7 +550,14 @@
             if size > MAX_FRAME_BYTES:
                 raise BadFrame(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES} bytes")
             if len(buffer) < body + size:
+                if size >= LARGE_BODY_BYTES and not self._n_held:
+                    dropped = self._hold_or_drop(body, size)
+                    if dropped is not None:
+                        messages.append(dropped)
+                        self._n_skipped = body + size - len(buffer)
+                        start = len(buffer)
                 break
+            self._release()
             if size < LARGE_BODY_BYTES:
                 message = decode(bytes(buffer[body : body + size]))
             else:
@@ -520,6 +570,39 @@
         del buffer[:start]
         return messages
 
+    def _hold_or_drop(self, body: int, size: int) -> Dropped | None:
+        """Reserve memory for an incomplete frame; return it if it has to be skipped."""
+        if len(self._buffer) - body < _MIN_HEAD_BYTES:
+            return None
+        head = memoryview(bytes(self._buffer[body : body + _MIN_HEAD_BYTES]))
+        try:
+            kind, call_id = read_integers(head, 2)
+        except (ValueError, IndexError):
+            kind = call_id = -1
+        if not self._memory.fits(size):
+            if kind == _CALL:
+                return DroppedCall(call_id)
+            if kind == _ANSWERED:
+                return DroppedAnswer(call_id)
+        self._memory.hold(size)
+        self._n_held = size
+        return None
+
+    def _skip(self, data: bytes) -> bytes:
+        """Skip the rest of a dropped frame; return the data after it."""
+        n_skipped = min(self._n_skipped, len(data))
+        self._n_skipped -= n_skipped
+        return data[n_skipped:]
+
+    def _release(self) -> None:
+        self._memory.release(self._n_held)
+        self._n_held = 0
+
+    def close(self) -> None:
+        """Drop what has not been parsed."""
+        self._buffer = bytearray()
+        self._release()
+
     def take_rest(self) -> bytes:
         """Remove and return the bytes that have not been parsed."""
         rest = bytes(self._buffer)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -13,6 +13,7 @@
 
     from fuchsiagap_node.core.mesh.admission import Admission
     from fuchsiagap_node.core.mesh.backend_queue import BackendQueue
+    from fuchsiagap_node.core.mesh.body_memory import BodyMemory
     from fuchsiagap_node.core.mesh.config_sync import ConfigSync
     from fuchsiagap_node.core.mesh.crash_reports import CrashReports
     from fuchsiagap_node.core.mesh.peers import Peers
@@ -42,6 +43,13 @@
         yield Gauge("config_update_source", labels, float(is_current))
 
 
+def memory_gauges(memory: BodyMemory) -> Iterator[Gauge]:
+    """Yield the use of the memory for bodies."""
+    yield Gauge("body_memory_bytes", "", memory.held)
+    yield Gauge("body_memory_limit_bytes", "", memory.limit)
+    yield Gauge("body_memory_refusals", "", memory.n_refused)
+
+
 def backend_gauges(backend_queue: BackendQueue) -> Iterator[Gauge]:
     """Yield the state of the local backend server and its queue."""
     yield Gauge("backend_ready", "", float(bool(backend_queue.instance())))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
@@ -7,9 +7,12 @@
 import httptools
 
 from fuchsiagap.core.workspaces.keys import key_digest
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
 from fuchsiagap_node.core.mesh.http_names import HOP_HEADERS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from fuchsiagap.core.routes.model import CallerLimits
     from fuchsiagap_node.core.mesh.http_names import HeaderNames
 
@@ -37,6 +40,10 @@
         Header lines and key digests that identify the caller.
     key : bytes, default=b""
         Digest of the caller's API key; empty if there is none, or more than one.
+    n_held : int, default=0
+        Bytes that its reader has counted in the memory for bodies.
+    is_refused : bool, default=False
+        Whether there is no memory for its body, which is then empty.
     """
 
     method: bytes
@@ -49,6 +56,8 @@
     keep_alive: bool
     identity: tuple[bytes, ...] = ()
     key: bytes = b""
+    n_held: int = 0
+    is_refused: bool = False
 
 
 class BadRequest(Exception):
@@ -77,6 +86,11 @@
         Header names.
     limits : CallerLimits
         Size limits of a request.
+    memory : BodyMemory, optional
+        Memory for bodies; by default unlimited. A request whose body does not fit is
+        returned without it as soon as that is known, and the body is skipped.
+    rank_of : callable, optional
+        Returns the priority rank of a request, given its host, target and identifier.
 
     Attributes
     ----------
@@ -86,7 +100,16 @@
         Whether a request has begun and is not complete.
     """
 
-    def __init__(self, names: HeaderNames, limits: CallerLimits) -> None:
+    def __init__(
+        self,
+        names: HeaderNames,
+        limits: CallerLimits,
+        memory: BodyMemory | None = None,
+        rank_of: Callable[[str, bytes, str], int] | None = None,
+    ) -> None:
+        self._memory = memory or BodyMemory()
+        self._rank_of = rank_of or _best_rank
+        self._n_held = 0
         self._node_headers = frozenset(
             name.lower()
             for name in (
@@ -122,6 +145,11 @@
         self._body_size = 0
         self._head_size = 0
         self._has_length = False
+        self._length: int | None = None
+        self._rank = 0
+        self._is_refused = False
+        self._memory.release(self._n_held)
+        self._n_held = 0
 
     def feed(self, data: bytes) -> list[Request]:
         """Parse data and return the requests that it completes.
@@ -194,6 +222,29 @@
             self.wants_continue = True
         elif lower_name in (b"content-length", b"transfer-encoding"):
             self._has_length = True
+            if lower_name == b"content-length" and value.isdigit():
+                self._length = int(value)
+
+    def on_headers_complete(self) -> None:
+        """Reserve memory for the body, or refuse the request."""
+        if not self._has_length:
+            return
+        self._rank = self._rank_of(self._host, self._target, self._id)
+        if self._length is None or self._length > self._limits.body_bytes:
+            return
+        self._hold(self._length)
+
+    def _hold(self, n_bytes: int) -> None:
+        """Reserve memory for a body or a part of it, or refuse the request."""
+        if self._memory.admits(n_bytes, self._rank):
+            self._memory.hold(n_bytes)
+            self._n_held += n_bytes
+            return
+        self._is_refused = True
+        self._memory.release(self._n_held)
+        self._n_held = 0
+        self._body = []
+        self._complete()
 
     def on_body(self, part: bytes) -> None:
         """Append to the body; fail above the size limit."""
@@ -201,11 +252,21 @@
         if self._body_size > self._limits.body_bytes:
             limit = self._limits.body_bytes
             self._fail(BadRequest(413, f"body exceeds {limit} bytes"))
-        self._body.append(part)
+        if self._length is None and not self._is_refused:
+            self._hold(len(part))
+        is_too_large = self._length is not None and (
+            self._length > self._limits.body_bytes
+        )
+        if not self._is_refused and not is_too_large:
+            self._body.append(part)
 
     def on_message_complete(self) -> None:
         """Complete a request."""
         self.in_message = False
+        if not self._is_refused:
+            self._complete()
+
+    def _complete(self) -> None:
         target = self._target
         if not target.startswith(b"/"):
             self._fail(BadRequest(400, "request target does not begin with a slash"))
@@ -226,11 +287,17 @@
                 body,
                 self._id,
                 self._wait,
-                self._parser.should_keep_alive(),
+                # A caller that waits to be told to continue may not send the body.
+                self._parser.should_keep_alive()
+                and not (self._is_refused and self.wants_continue),
                 (*self._identity, *self._keys),
                 self._keys[0] if len(self._keys) == 1 else b"",
+                self._n_held,
+                self._is_refused,
             )
         )
+        # Whoever takes the request releases the memory.
+        self._n_held = 0
         self._lines, self._body = [], []
 
     def _add_head_size(self, size: int) -> None:
@@ -244,6 +311,11 @@
         raise ValueError(error.detail)
 
 
+def _best_rank(_: str, __: bytes, ___: str) -> int:
+    """Return the best rank for each request."""
+    return 0
+
+
 def _parse_ms(value: bytes) -> float | None:
     try:
         wait = float(value)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -6,7 +6,9 @@
 
 import httptools
 
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
 from fuchsiagap_node.core.mesh.http_names import HOP_HEADERS
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 
 if TYPE_CHECKING:
     from fuchsiagap_node.core.mesh.http_names import HeaderNames
@@ -68,6 +70,9 @@
     ----------
     names : HeaderNames
         Header names.
+    memory : BodyMemory, optional
+        Memory for bodies; by default unlimited. A large body that does not fit is
+        malformed.
 
     Attributes
     ----------
@@ -76,7 +81,9 @@
         a complete one.
     """
 
-    def __init__(self, names: HeaderNames) -> None:
+    def __init__(self, names: HeaderNames, memory: BodyMemory | None = None) -> None:
+        self._memory = memory or BodyMemory()
+        self._n_held = 0
         self._id_name = names.request_id.lower()
         self._not_run_name = names.not_run.lower()
         self._load_name = names.load.lower()
@@ -92,6 +99,10 @@
         self._reason = b""
         self._lines: list[bytes] = []
         self._body: list[bytes] = []
+        self._body_size = 0
+        self._length = 0
+        self._memory.release(self._n_held)
+        self._n_held = 0
         self._request_id = ""
         self._not_run = False
         self._instance = ""
@@ -171,6 +182,8 @@
                 self._idle_timeout = _idle_timeout(value)
             elif lower_name != b"connection":
                 self._has_framing = True
+                if lower_name == b"content-length" and value.isdigit():
+                    self._length = int(value)
             return
         if lower_name == self._id_name:
             self._request_id = value.decode("latin-1")
@@ -187,12 +200,24 @@
         self._lines.append(name + b": " + value + b"\r\n")
 
     def on_headers_complete(self) -> None:
-        """Mark the head as complete."""
+        """Mark the head as complete, and reserve memory for the whole body."""
         self._is_head_complete = True
+        self._hold(self._length)
 
     def on_body(self, part: bytes) -> None:
         """Append to the body."""
         self._body.append(part)
+        self._body_size += len(part)
+        self._hold(self._body_size)
+
+    def _hold(self, n_bytes: int) -> None:
+        """Reserve memory for a body of `n_bytes` in total, if it is large."""
+        if n_bytes < LARGE_BODY_BYTES or n_bytes <= self._n_held:
+            return
+        if not self._memory.fits(n_bytes - self._n_held):
+            raise BadResponse("no memory for the body of the response")
+        self._memory.hold(n_bytes - self._n_held)
+        self._n_held = n_bytes
 
     def on_message_complete(self) -> None:
         """Complete a response; informational ones (1xx) are dropped."""
@@ -218,6 +243,8 @@
             )
         )
         self._lines, self._body = [], []
+        self._memory.release(self._n_held)
+        self._n_held = 0
 
 
 def _join(earlier: bytes | None, value: bytes) -> bytes:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
@@ -9,7 +9,8 @@
 from fuchsiagap.core.backend_queue.server_load import NO_SPEED
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
-from fuchsiagap_node.core.mesh.frames import BadFrame
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
+from fuchsiagap_node.core.mesh.frames import BadFrame, DroppedCall
 from fuchsiagap_node.core.mesh.link import FramedLink
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
@@ -18,6 +19,7 @@
     Cleared,
     ConfigQuery,
     DepartureReceipt,
+    DownstreamSummary,
     EncodedConfig,
     Hello,
     NoticeReport,
@@ -30,6 +32,7 @@
     TokenGrant,
     TokenRequest,
 )
+from fuchsiagap_node.core.mesh.outcome import NO_MEMORY, NotRun
 from fuchsiagap_node.core.mesh.pending_call import PendingCall
 from fuchsiagap_node.core.mesh.server_speed import differs_in_speed, is_slow
 from fuchsiagap_node.core.mesh.stream import BrokenStream
@@ -41,12 +44,15 @@
     from fuchsiagap_node.core.mesh.backend_queue import BackendQueue
     from fuchsiagap_node.core.mesh.crash_reports import Post, Report
     from fuchsiagap_node.core.mesh.event_log import EventLog
+    from fuchsiagap_node.core.mesh.frames import Dropped
     from fuchsiagap_node.core.mesh.messages import Message
     from fuchsiagap_node.core.mesh.outcome import Outcome
     from fuchsiagap_node.core.mesh.poller import Poller
     from fuchsiagap_node.core.mesh.stream import Stream
 
 
+# Downstream summary of a call that was not queued.
+_NO_DOWNSTREAM_INFO = DownstreamSummary(NO_CALLS, 0)
 # Milliseconds after the load was last sent to a node, during which a change of the load
 # alone is not sent to it in a status.
 _LOAD_FRESH_MS = 1_000.0
@@ -135,6 +141,8 @@
         was last known to be the newest. None if that is not known.
     grant_tokens : callable
         Returns the tokens that this node grants from a quota that it owns.
+    body_memory : BodyMemory
+        Memory for bodies.
     """
 
     def __init__(
@@ -167,6 +175,7 @@
             _no_staleness
         )
         self.grant_tokens: Callable[[TokenRequest], TokenGrant] = _no_tokens
+        self.body_memory = BodyMemory()
 
     def posts(self) -> Iterator[tuple[str, Post]]:
         """Yield the name and the send function of each node with an open link."""
@@ -186,11 +195,11 @@
 
     async def serve(self, stream: Stream) -> None:
         """Serve one link until it ends."""
-        link = FramedLink(stream, self._clock)
+        link = FramedLink(stream, self._clock, self.body_memory)
         sender = self._links[link] = _Sender()
         pending_calls = sender.pending_calls
 
-        def handle(message: Message) -> None:
+        def handle(message: Message | Dropped) -> None:
             self._handle_message(link, sender, message)
 
         try:
@@ -210,11 +219,13 @@
             link.close()
 
     def _handle_message(
-        self, link: FramedLink, sender: _Sender, message: Message
+        self, link: FramedLink, sender: _Sender, message: Message | Dropped
     ) -> None:
         match message:
             case Call() as call:
                 self._handle_call(link, sender, call)
+            case DroppedCall(call_id):
+                self._refuse(link, call_id)
             case Cancel(call_id):
                 pending = sender.pending_calls.pop(call_id, None)
                 if pending is not None:
@@ -254,8 +265,14 @@
 
     def _handle_call(self, link: FramedLink, sender: _Sender, call: Call) -> None:
         pending_calls, call_id = sender.pending_calls, call.call_id
+        memory, n_held = self.body_memory, len(call.body)
+        if not memory.admits(n_held, call.rank):
+            self._refuse(link, call_id)
+            return
+        memory.hold(n_held)
 
         def reply(outcome: Outcome) -> None:
+            memory.release(n_held)
             # Refers to the pending call by number, as a cycle would keep its body.
             pending = pending_calls.pop(call_id, None)
             if pending is not None:
@@ -269,14 +286,25 @@
                     ),
                 )
                 sender.load_sent_at = self._clock.now()
-                load, offered = queue.reported_load, queue.offered()
-                sender.speed_sent = speed = queue.speed
-                link.post(Reply(call_id, outcome, load, offered, downstream, speed))
+                sender.speed_sent = queue.speed
+                link.post(self._reply_to(call_id, outcome, downstream))
 
         sender.called_at = self._clock.now()
         pending_calls[call_id] = pending = PendingCall.of(call, sender.called_at, reply)
         self._backend_queue.submit(pending)
 
+    def _refuse(self, link: FramedLink, call_id: int) -> None:
+        """Refuse a call for whose body there is no memory."""
+        link.post(self._reply_to(call_id, NotRun(NO_MEMORY), _NO_DOWNSTREAM_INFO))
+
+    def _reply_to(
+        self, call_id: int, outcome: Outcome, downstream: DownstreamSummary
+    ) -> Reply:
+        """Return the reply to a call, with the load of the backend server."""
+        queue = self._backend_queue
+        load, offered = queue.reported_load, queue.offered()
+        return Reply(call_id, outcome, load, offered, downstream, queue.speed)
+
     def send_status(self) -> None:
         """Send the backend server's status to the senders whose copy is outdated.
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
@@ -8,10 +8,17 @@
 
 import trio
 
-from fuchsiagap_node.core.mesh.frames import BadFrame, FrameReader, encode_parts
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
+from fuchsiagap_node.core.mesh.frames import (
+    BadFrame,
+    Dropped,
+    FrameReader,
+    encode_parts,
+)
 from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.message_level import is_understood, message_level
-from fuchsiagap_node.core.mesh.messages import Cancel, Hello, Message
+from fuchsiagap_node.core.mesh.messages import Cancel, Hello, Message, Reply
+from fuchsiagap_node.core.mesh.outcome import NO_MEMORY, Answered, MayHaveRun
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
@@ -42,6 +49,8 @@
         The connection.
     clock : Clock
         Time in milliseconds.
+    memory : BodyMemory, optional
+        Memory for bodies; by default unlimited.
 
     Attributes
     ----------
@@ -51,7 +60,11 @@
         Whether this end has sent its `Hello`.
     """
 
-    def __init__(self, stream: Stream, clock: Clock) -> None:
+    def __init__(
+        self, stream: Stream, clock: Clock, memory: BodyMemory | None = None
+    ) -> None:
+        self._memory = memory or BodyMemory()
+        self._n_held = 0
         stream.set_user_timeout(_ACK_TIMEOUT_MS)
         self._stream = stream
         self._clock = clock
@@ -60,10 +73,10 @@
         self._unsent: list[int] = []
         self._wakeup = trio.Event()
         self._is_writing = False
-        self._reader = FrameReader()
+        self._reader = FrameReader(self._memory)
         self._compressor: zlib._Compress | None = None
         self._decompressor: zlib._Decompress | None = None
-        self._on_message: Callable[[Message], None] = _ignore
+        self._on_message: Callable[[Message | Dropped], None] = _ignore
         self._end_reason: Exception | None = None
         self._level = 0
         self.last_received_at: Milliseconds = clock.now()
@@ -82,15 +95,39 @@
         """
         if not is_understood(message, self._level):
             return
+        n_queued = len(self._outbox)
+        message = self._drop_answer_without_memory(message)
         frame = encode_parts(message, self._level)
         if self._compressor is None and not self._outbox and not self._is_writing:
             self._send_now(frame, call_id)
+            self._hold(message, n_queued)
             return
         if call_id:
             self._unsent.append(call_id)
         self._outbox += frame
+        self._hold(message, n_queued)
         self._wakeup.set()
 
+    def _drop_answer_without_memory(self, message: Message) -> Message:
+        """Replace a large answer that would wait to be sent and does not fit."""
+        match message:
+            case Reply(outcome=Answered(body=bytes() as body)):
+                if len(body) >= LARGE_BODY_BYTES and not self._memory.fits(len(body)):
+                    return message._replace(outcome=MayHaveRun(NO_MEMORY))
+        return message
+
+    def _hold(self, message: Message, n_queued: int) -> None:
+        """Count a large answer that waits to be sent."""
+        match message:
+            case Reply(outcome=Answered(body=bytes() as body)):
+                if len(body) >= LARGE_BODY_BYTES and len(self._outbox) > n_queued:
+                    self._memory.hold(len(body))
+                    self._n_held += len(body)
+
+    def _release(self, n_bytes: int) -> None:
+        self._memory.release(n_bytes)
+        self._n_held -= n_bytes
+
     def _send_now(self, frame: list[bytes], call_id: int) -> None:
         """Send a frame immediately, without waking the writing task.
 
@@ -139,7 +176,7 @@
         self.post(Cancel(call_id))
 
     async def serve(
-        self, poller: Poller, on_message: Callable[[Message], None]
+        self, poller: Poller, on_message: Callable[[Message | Dropped], None]
     ) -> None:
         """Read and write until the link ends.
 
@@ -193,8 +230,10 @@
 
         A function of its own, so that no variable keeps the last frame.
         """
+        n_held = self._n_held
         for data in self._take_data():
             await self._stream.send(data)
+        self._release(min(n_held, self._n_held))
 
     def _take_data(self) -> Iterator[Buffer]:
         """Remove the queued frames, and yield them as they go to the connection."""
@@ -237,32 +276,41 @@
         except Exception as exc:
             self.end(exc)
 
-    def _decode(self, data: bytes) -> list[Message]:
+    def _decode(self, data: bytes) -> list[Message | Dropped]:
         """Return the messages that the data completes."""
-        messages = self._reader.feed(self._decompress(data))
+        messages = self._feed(data)
         last = messages[-1] if messages else None
         if isinstance(last, Hello):
             rest = self._reader.take_rest()
             if last.compressed:
                 self._decompressor = zlib.decompressobj(_WINDOW_BITS)
-            messages += self._reader.feed(self._decompress(rest))
+            messages += self._feed(rest)
         return messages
 
-    def _decompress(self, data: bytes) -> bytes:
+    def _feed(self, data: bytes) -> list[Message | Dropped]:
+        """Parse data, decompressed in small parts as it may expand a thousandfold."""
         if self._decompressor is None:
-            return data
-        try:
-            return self._decompressor.decompress(data)
-        except zlib.error as exc:
-            raise BadFrame(f"decompression failed: {exc}") from exc
+            return self._reader.feed(data)
+        messages = []
+        is_complete = False
+        while not is_complete:
+            try:
+                part = self._decompressor.decompress(data, LARGE_BODY_BYTES)
+            except zlib.error as exc:
+                raise BadFrame(f"decompression failed: {exc}") from exc
+            data = self._decompressor.unconsumed_tail
+            is_complete = not data and len(part) < LARGE_BODY_BYTES
+            messages += self._reader.feed(part)
+        return messages
 
     def close(self) -> None:
         """Close the connection, and drop what has not been sent or parsed."""
         self._stream.close()
         self._outbox = []
-        self._reader = FrameReader()
+        self._reader.close()
         self._on_message = _ignore
+        self._release(self._n_held)
 
 
-def _ignore(_: Message) -> None:
+def _ignore(_: Message | Dropped) -> None:
     """Default callback; does nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -21,6 +21,7 @@
 from fuchsiagap_node.core.mesh.admission import STEP_MS, Admission
 from fuchsiagap_node.core.mesh.auxiliary_http import serve_auxiliary
 from fuchsiagap_node.core.mesh.backend_queue import BackendQueue
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory, body_limit
 from fuchsiagap_node.core.mesh.callers import IDLE_CHECK_INTERVAL_MS, CallerListener
 from fuchsiagap_node.core.mesh.config_sync import REFRESH_MS as CONFIG_REFRESH_MS
 from fuchsiagap_node.core.mesh.config_sync import ConfigSync
@@ -35,6 +36,7 @@
     config_gauges,
     coverage_gauges,
     departure_gauges,
+    memory_gauges,
     peer_gauges,
     quarantine_gauges,
     workspace_gauges,
@@ -147,6 +149,8 @@
         Handles the requests of callers.
     reports : CrashReports
         Reports of requests that crash backend servers.
+    body_memory : BodyMemory
+        Memory for bodies of requests and responses.
     """
 
     def __init__(
@@ -167,7 +171,10 @@
         self.event_log = event_log = EventLog(cfg.node, clock)
         self._poller = poller.make_poller()
         self._poller.on_fault = partial(event_log.log_exception, "connection")
-        self.backend_queue = BackendQueue(cfg, clock, event_log, rng, self._poller)
+        self.body_memory = BodyMemory(body_limit(cfg.memory_bytes))
+        self.backend_queue = BackendQueue(
+            cfg, clock, event_log, rng, self._poller, self.body_memory
+        )
         self._peers = Peers()
         self._contention_scope = ContentionScope(self._peers, clock)
         self.backend_queue.controls_contention = self._contention_scope.applies
@@ -245,7 +252,10 @@
             self._workspaces.quotas,
             self._workspace_admission,
         )
-        self._callers = CallerListener(cfg, self.entry, clock, event_log, self._poller)
+        self.entry.memory = self.body_memory
+        self._callers = CallerListener(
+            cfg, self.entry, clock, event_log, self._poller, self.body_memory
+        )
         self.entry.parent_of = self.backend_queue.parent_of
         self._config.changed = self._send_status
         hello = Hello(
@@ -273,6 +283,7 @@
             event_log,
             self._poller,
         )
+        self._inbound.body_memory = self.body_memory
         self._inbound.on_hello = self._links.handle_hello
         self._inbound.config_text = self._config.active.text
         self._inbound.downstream_fullness = downstream_fullness
@@ -315,6 +326,7 @@
         self._workspaces.schedule(self._ticker)
 
     def _prepare_link(self, link: OutboundLink) -> None:
+        link.body_memory = self.body_memory
         link.on_status = self._handle_peer_status
         link.on_config = lambda text: self._config.adopt_text(text, link.member.node)
         link.on_report = self.reports.handle
@@ -548,6 +560,7 @@
             admission_gauges(self._admission),
             coverage_gauges(self._coverage),
             workspace_share_gauges(self._workspace_admission),
+            memory_gauges(self.body_memory),
         )
         return FinalResponse(
             200, headers=content_type, body=self.event_log.metrics(gauges).encode()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/outbound_link.py
@@ -13,7 +13,8 @@
 from fuchsiagap.core.placement.choice import Target
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap.core.watching.watcher_rank import UpdateSource
-from fuchsiagap_node.core.mesh.frames import BadFrame
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
+from fuchsiagap_node.core.mesh.frames import BadFrame, DroppedAnswer
 from fuchsiagap_node.core.mesh.link import FramedLink
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
@@ -29,7 +30,13 @@
     Status,
     TokenGrant,
 )
-from fuchsiagap_node.core.mesh.outcome import LINK_LOST, MayHaveRun, NotRun
+from fuchsiagap_node.core.mesh.outcome import (
+    LINK_LOST,
+    NO_MEMORY,
+    MayHaveRun,
+    NotRun,
+    Outcome,
+)
 from fuchsiagap_node.core.mesh.stream import BrokenStream, dial
 
 if TYPE_CHECKING:
@@ -38,6 +45,7 @@
     from fuchsiagap.core.clock import Clock, Milliseconds
     from fuchsiagap_node.core.mesh.crash_reports import Post, Report
     from fuchsiagap_node.core.mesh.event_log import EventLog
+    from fuchsiagap_node.core.mesh.frames import Dropped
     from fuchsiagap_node.core.mesh.messages import Call, Message
     from fuchsiagap_node.core.mesh.peers import OnReply
     from fuchsiagap_node.core.mesh.poller import Poller
@@ -143,6 +151,8 @@
         Returns the time of the last data on the link that the node opened to this one.
     send_snapshot : callable
         Sends the initial state to the node.
+    body_memory : BodyMemory
+        Memory for bodies.
     scope : trio.CancelScope
         Scope of `run`.
     """
@@ -190,6 +200,7 @@
         self.on_open: Callable[[OutboundLink], None] = _ignore
         self.inbound_received_at: Callable[[], Milliseconds] = _never_received
         self.send_snapshot: Callable[[Post], None] = _ignore
+        self.body_memory = BodyMemory()
         self.scope = trio.CancelScope()
 
     @property
@@ -273,10 +284,10 @@
                 wait = min(2 * wait, _MAX_RECONNECT_DELAY_MS)
 
     async def _serve(self, stream: Stream) -> None:
-        link = FramedLink(stream, self._clock)
+        link = FramedLink(stream, self._clock, self.body_memory)
         link.post_hello(self._hello, compressed=not self.target.local)
 
-        def handle(message: Message) -> None:
+        def handle(message: Message | Dropped) -> None:
             self._handle_message(link, message)
 
         self._connection = link
@@ -317,10 +328,12 @@
         ):
             link.post(Ping())
 
-    def _handle_message(self, link: FramedLink, message: Message) -> None:
+    def _handle_message(self, link: FramedLink, message: Message | Dropped) -> None:
         match message:
             case Reply() as reply:
                 self._handle_reply(reply)
+            case DroppedAnswer(call_id):
+                self._settle(call_id, MayHaveRun(NO_MEMORY), _NO_DOWNSTREAM_INFO)
             case Status() as status:
                 self._handle_status(status)
             case EncodedConfig() as config:
@@ -355,12 +368,17 @@
         self.target.others = max(reply.load - self.target.own_in_flight, 0)
         self.target.offered = reply.offered
         self.target.speed = reply.speed
-        on_outcome = self._pending.pop(reply.call_id, None)
+        self._settle(reply.call_id, reply.outcome, reply.downstream)
+
+    def _settle(
+        self, call_id: int, outcome: Outcome, downstream: DownstreamSummary
+    ) -> None:
+        on_outcome = self._pending.pop(call_id, None)
         if on_outcome is None:
             self._event_log.counts["late_replies", ""] += 1
             return
         self.target.own_in_flight -= 1
-        on_outcome(reply.outcome, reply.downstream)
+        on_outcome(outcome, downstream)
 
     def _handle_status(self, status: Status) -> None:
         target = self.target
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
@@ -93,6 +93,8 @@
         Path of the readiness check.
     first_start : bool
         Whether the whole system starts for the first time.
+    memory_bytes : float
+        Memory that the process may use.
     """
 
     node: str
@@ -110,3 +112,4 @@
     names: HeaderNames = field(default_factory=HeaderNames)
     health_path: str = "/readiness"
     first_start: bool = False
+    memory_bytes: float = 300_000_000.0
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_body_memory.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_body_memory.py
@@ -77,6 +77,9 @@
             await trio.sleep(2.0)
             for server in servers:
                 server.heads.clear()
+            nodes = [host.node for host in deployment.hosts]
+            held = {node.cfg.node: node.body_memory.held for node in nodes}
+            assert not any(held.values()), f"bytes still counted: {held}"
             return live_bodies()
 
     return run_in_memory(partial(run_without_collections, main))
