Decide in one place what may begin while a node stops

Cause: the planned stop knew the kinds of work one by one. Requests of callers were refused from 3 s on and the queue of the local server closed after 2 s, but nested calls and repeats were taken until the exit, 5.3 s after SIGTERM.

PlannedStop now decides for each kind of work that can begin: requests of callers, calls to the local server, its nested calls, repeats. The first two keep their last moments. A nested call or a repeat begins as long as it can finish before the exit, by its deadline or by the longest recent time of its route with a reserve; without experience of the route, up to 3 s after SIGTERM. A nested call that cannot finish is answered 503 while its server can still use that. A request for the local server that is known to take longer than the rest of the stop is refused as not run, so that another server gets it.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -42,6 +42,7 @@
     NotRun,
     Outcome,
 )
+from fuchsiagap_node.core.mesh.planned_stop import PlannedStop, Work
 from fuchsiagap_node.core.mesh.queue_retry_budget import QueueRetryBudget
 from fuchsiagap_node.core.mesh.server_crashes import ServerCrashes
 from fuchsiagap_node.core.mesh.server_notices import ServerNotices
@@ -95,6 +96,8 @@
         Reads the connections to the server.
     memory : BodyMemory, optional
         Memory for bodies; by default unlimited.
+    planned_stop : PlannedStop, optional
+        Decides what may begin while the process stops.
 
     Attributes
     ----------
@@ -131,7 +134,9 @@
         rng: random.Random,
         poller: Poller,
         memory: BodyMemory | None = None,
+        planned_stop: PlannedStop | None = None,
     ) -> None:
+        self.planned_stop = planned_stop or PlannedStop(clock)
         self._cfg = cfg
         self.reports = CrashReports(cfg.quarantine, cfg.service, clock, rng, event_log)
         self.retry_budget = QueueRetryBudget(cfg.budget, clock, event_log, rng)
@@ -487,6 +492,11 @@
         if not instance or instance != call.instance:
             pending.reply(NotRun(self._unusable_reason()))
             return
+        if not self.planned_stop.may_begin(
+            Work.BACKEND_CALL, call.route, call.time_left
+        ):
+            pending.reply(NotRun(LEAVING))
+            return
         if not self.retry_budget.admits(call, self.failing(), self._covers_trees):
             pending.reply(NotRun(NO_BUDGET))
             return
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -10,9 +10,10 @@
     FinalResponse,
 )
 from fuchsiagap_node.core.mesh.metered_request import MeteredRequest
-from fuchsiagap_node.core.mesh.outcome import NO_MEMORY
+from fuchsiagap_node.core.mesh.outcome import LEAVING, NO_MEMORY
 from fuchsiagap_node.core.mesh.over_quota import quota_refusal
 from fuchsiagap_node.core.mesh.placement import Placement
+from fuchsiagap_node.core.mesh.planned_stop import Work
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -71,8 +72,8 @@
         Active routes; None until a configuration is known.
     memory : BodyMemory
         Memory for bodies.
-    stopping : bool
-        Whether new requests are refused because the process is about to exit.
+    planned_stop : PlannedStop
+        Decides what may begin while the process stops.
     parent_of : callable
         Returns the running request of the backend server on this host that makes a
         nested call, given the identifier of the call; None for a new request.
@@ -99,7 +100,7 @@
         self._event_log = event_log
         self.table: RouteTable | None = None
         self.memory = BodyMemory()
-        self.stopping = False
+        self.planned_stop = context.planned_stop
         self.parent_of: Callable[[str], PendingCall | None] = _no_parent
 
     def begin(
@@ -183,8 +184,19 @@
 
     def _place_nested_call(
         self, req: Request, route: Route, parent: PendingCall, done: OnFinalResponse
-    ) -> Placement:
-        """Start the placement of a nested call of the local backend server."""
+    ) -> Placement | None:
+        """Start the placement of a nested call of the local backend server.
+
+        While the process stops, a call that cannot finish before the exit is refused,
+        as its caller can still use that answer.
+        """
+        wait = route.timeout if req.wait is None else min(route.timeout, req.wait)
+        if not self.planned_stop.may_begin(Work.NESTED_CALL, route.name, wait):
+            self._event_log.event(
+                "refused", request=req.request_id, route=route.name, cause=LEAVING
+            )
+            done(FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS))
+            return None
         service = self._rotation.pick(route)
         self._route_loads.record_nested_call(parent.call.route, service, route.name)
         placement = Placement(self._context, req, route, service, parent, done)
@@ -263,7 +275,7 @@
 
         At most the share `covered` of the call trees is admitted.
         """
-        if self.stopping:
+        if not self.planned_stop.may_begin(Work.CALLER_REQUEST):
             return FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS)
         if not self.memory.admits(0, route.priority):
             # Its response may be large.
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -58,6 +58,7 @@
 from fuchsiagap_node.core.mesh.outcome import LEAVING
 from fuchsiagap_node.core.mesh.peers import Peers
 from fuchsiagap_node.core.mesh.placement_context import PlacementContext
+from fuchsiagap_node.core.mesh.planned_stop import PlannedStop
 from fuchsiagap_node.core.mesh.route_coverage import STEP_MS as COVERAGE_STEP_MS
 from fuchsiagap_node.core.mesh.route_coverage import RouteCoverage
 from fuchsiagap_node.core.mesh.route_loads import RouteLoads
@@ -88,18 +89,9 @@
 _LOAD_EVENT_INTERVAL_MS = 1_000.0
 # Milliseconds between two updates of the set of links to other nodes.
 _UPDATE_LINKS_INTERVAL_MS = 1_000.0
-# Milliseconds after SIGTERM for which the backend server, which may outlive the node,
-# still gets requests. This shortens its outage; the last requests have the rest of the
-# stop time to finish.
-_BACKEND_QUEUE_OPEN_MS = 2_000.0
 # Milliseconds after SIGTERM for which callers still send requests here: the platform
 # checks readiness once per second and removes a node after two failed checks.
 _READINESS_PROPAGATION_MS = 2_500.0
-# Milliseconds after SIGTERM from which new requests are refused, so that those accepted
-# before can finish: callers that find too few other nodes continue to send.
-_REFUSE_AFTER_MS = 3_000.0
-# Milliseconds before the end of the stop time at which the process exits by itself.
-_STOP_MARGIN_MS = 700.0
 # Milliseconds between two checks during a stop whether work is still in progress.
 _STOP_POLL_INTERVAL_MS = 50.0
 # Milliseconds between two checks of the settings file: well below the 2 s within which
@@ -171,9 +163,16 @@
         self.event_log = event_log = EventLog(cfg.node, clock)
         self._poller = poller.make_poller()
         self._poller.on_fault = partial(event_log.log_exception, "connection")
+        self._planned_stop = PlannedStop(clock)
         self.body_memory = BodyMemory(body_limit(cfg.memory_bytes))
         self.backend_queue = BackendQueue(
-            cfg, clock, event_log, rng, self._poller, self.body_memory
+            cfg,
+            clock,
+            event_log,
+            rng,
+            self._poller,
+            self.body_memory,
+            self._planned_stop,
         )
         self._peers = Peers()
         self._contention_scope = ContentionScope(self._peers, clock)
@@ -207,6 +206,7 @@
             rng,
             event_log,
             self.reports,
+            self._planned_stop,
         )
         self._admission = Admission(
             self._route_loads,
@@ -400,6 +400,7 @@
         self.entry.table = table = RouteTable(stored.config)
         self._contention_scope.has_workspaces = table.keys is not None
         self._rotation.adopt(stored.config)
+        self._planned_stop.route_times.retain({r.name for r in stored.config.routes})
         self._callers.limits = stored.config.limits
         self._workspaces.adopt(stored.config)
         service = stored.config.services.get(self.cfg.service)
@@ -614,35 +615,36 @@
 
     async def stop(self) -> None:
         """Stop accepting work in steps, and wait for work in progress to finish."""
-        started = self._clock.now()
+        self._planned_stop.begin(self.cfg.bounds.stop)
         self._leaving = True
         async with trio.open_nursery() as nursery:
             if not self.backend_queue.instance():
                 # Runs concurrently, so that a store that does not answer does not use
                 # up the stop time.
                 nursery.start_soon(self._members.deregister)
-            await self._drain(started)
+            await self._drain()
             nursery.cancel_scope.cancel()
         self.event_log.event(
             "ending",
             callers=self._callers.in_progress,
             running=self.backend_queue.running,
-            took=round(self._clock.now() - started),
+            took=round(self._planned_stop.elapsed),
         )
 
-    async def _drain(self, started: Milliseconds) -> None:
+    async def _drain(self) -> None:
         """Close the backend queue, then connections, until all work is done."""
+        planned_stop = self._planned_stop
         time_to_stop = self.cfg.bounds.stop
-        while (spent := self._clock.now() - started) < time_to_stop - _STOP_MARGIN_MS:
-            if spent >= min(_BACKEND_QUEUE_OPEN_MS, time_to_stop / 3.0):
+        while not planned_stop.is_over:
+            if not planned_stop.accepts_backend_calls:
                 self._close_backend_queue()
-            if spent >= min(_READINESS_PROPAGATION_MS, time_to_stop / 2.0):
+            if planned_stop.elapsed >= min(
+                _READINESS_PROPAGATION_MS, time_to_stop / 2.0
+            ):
                 self._callers.closing = True
                 self._callers.close_idle()
                 if not self._callers.in_progress and not self.backend_queue.running:
                     break
-            if spent >= min(_REFUSE_AFTER_MS, time_to_stop / 2.0):
-                self.entry.stopping = True
             await trio.sleep(_STOP_POLL_INTERVAL_MS / MS_PER_S)
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -29,6 +29,7 @@
     NotRun,
     Outcome,
 )
+from fuchsiagap_node.core.mesh.planned_stop import Work
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -384,7 +385,11 @@
 
     def _can_retry(self, outcome: Outcome) -> bool:
         """Whether the request may be sent to a backend queue again."""
-        if self._context.clock.now() >= self._deadline:
+        left = self._deadline - self._context.clock.now()
+        planned_stop = self._context.planned_stop
+        if left <= 0.0 or not planned_stop.may_begin(
+            Work.RETRY, self._route.name, left
+        ):
             return False
         is_covered = self._context.coverage.is_in_scope
         if self._placements >= (
@@ -453,6 +458,8 @@
         if self._parent_call is None and not self._is_quarantined:
             self._context.served.record_end(self._route.name, final.status < 500, now)
         took = now - self._started
+        if not failed:
+            self._context.planned_stop.route_times.record(self._route.name, took)
         self._context.event_log.count_outcome(self._route.name, str(final.status), took)
         done, self._done = self._done, _ignore
         done(final)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
@@ -20,6 +20,7 @@
     from fuchsiagap_node.core.mesh.crash_reports import CrashReports
     from fuchsiagap_node.core.mesh.event_log import EventLog
     from fuchsiagap_node.core.mesh.peers import Peer, Peers
+    from fuchsiagap_node.core.mesh.planned_stop import PlannedStop
     from fuchsiagap_node.core.mesh.route_coverage import RouteCoverage
     from fuchsiagap_node.core.mesh.route_loads import RouteLoads
     from fuchsiagap_node.core.mesh.settings import MeshSettings
@@ -59,6 +60,8 @@
         Event log and counters.
     reports : CrashReports
         Quarantine of requests that crash servers.
+    planned_stop : PlannedStop
+        Decides what may begin while the process stops.
 
     Attributes
     ----------
@@ -86,7 +89,9 @@
         rng: random.Random,
         event_log: EventLog,
         reports: CrashReports,
+        planned_stop: PlannedStop,
     ) -> None:
+        self.planned_stop = planned_stop
         self._rng = rng
         self._bytes: dict[str, float] = {}
         self._ids = count(1)
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/planned_stop.py
@@ -0,0 +1,149 @@
+"""Decides which work may still begin while the process stops as planned."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from fuchsiagap.core.clock import Clock, Milliseconds
+
+# Milliseconds after SIGTERM for which the backend server, which may outlive the node,
+# still gets requests. This shortens its outage; the last requests have the rest of the
+# stop time to finish.
+_BACKEND_QUEUE_OPEN_MS = 2_000.0
+# Milliseconds after SIGTERM from which new requests are refused, so that those accepted
+# before can finish: callers that find too few other nodes continue to send.
+_REFUSE_AFTER_MS = 3_000.0
+# Milliseconds before the end of the stop time at which the process exits by itself.
+_STOP_MARGIN_MS = 700.0
+# Factor on the longest recent time of a route, within which a request ends.
+_RESERVE_FACTOR = 1.25
+# Factor by which the longest time of a route shrinks with each request.
+_DECAY = 0.99
+
+
+class Work(Enum):
+    """Kinds of work that begin at a node, with the last moment during a planned stop.
+
+    Attributes
+    ----------
+    CALLER_REQUEST
+        A request of a caller: as long as callers may not have noticed the stop.
+    BACKEND_CALL
+        A call of any node to the local backend server, or one that waits for it: for
+        the first part of the stop, if it can finish before the exit.
+    NESTED_CALL
+        A call that the local backend server makes for a request that it runs: if it can
+        finish before the exit.
+    RETRY
+        Another attempt for a request in progress: if it can finish before the exit.
+    """
+
+    CALLER_REQUEST = "caller request"
+    BACKEND_CALL = "backend call"
+    NESTED_CALL = "nested call"
+    RETRY = "retry"
+
+
+class RouteTimes:
+    """Longest recent time of the requests of each route, in milliseconds."""
+
+    def __init__(self) -> None:
+        self._longest: dict[str, Milliseconds] = {}
+
+    def record(self, route: str, took: Milliseconds) -> None:
+        """Record how long a request took from its start to its answer."""
+        self._longest[route] = max(took, self._longest.get(route, 0.0) * _DECAY)
+
+    def expected(self, route: str) -> Milliseconds | None:
+        """Return the time within which a request should end; None if not known."""
+        longest = self._longest.get(route)
+        return None if longest is None else longest * _RESERVE_FACTOR
+
+    def retain(self, routes: Collection[str]) -> None:
+        """Forget the routes that no longer exist."""
+        self._longest = {k: v for k, v in self._longest.items() if k in routes}
+
+
+class PlannedStop:
+    """State of the planned stop of this process, if it has begun.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time in milliseconds.
+
+    Attributes
+    ----------
+    route_times : RouteTimes
+        Times of requests that this node has placed.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._began_at: Milliseconds | None = None
+        self._time_to_stop: Milliseconds = 0.0
+        self.route_times = RouteTimes()
+
+    def begin(self, time_to_stop: Milliseconds) -> None:
+        """Begin the stop; the process is killed after `time_to_stop` ms."""
+        self._began_at = self._clock.now()
+        self._time_to_stop = time_to_stop
+
+    @property
+    def elapsed(self) -> Milliseconds:
+        """Milliseconds since the stop began; negative infinity if it has not."""
+        began_at = self._began_at
+        return float("-inf") if began_at is None else self._clock.now() - began_at
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the process has to exit now."""
+        return self.elapsed >= self._time_to_stop - _STOP_MARGIN_MS
+
+    def may_begin(
+        self,
+        work: Work,
+        route: str = "",
+        time_left: Milliseconds = float("inf"),
+    ) -> bool:
+        """Whether work may begin now.
+
+        Parameters
+        ----------
+        work : Work
+            Kind of work.
+        route : str, default=""
+            Route of the request or call.
+        time_left : float, default=inf
+            Milliseconds until its deadline.
+        """
+        elapsed = self.elapsed
+        if elapsed < 0.0:
+            return True
+        if work is Work.CALLER_REQUEST:
+            return elapsed < min(_REFUSE_AFTER_MS, self._time_to_stop / 2.0)
+        if work is Work.BACKEND_CALL and not self.accepts_backend_calls:
+            return False
+        return self._can_finish(elapsed, route, time_left)
+
+    @property
+    def accepts_backend_calls(self) -> bool:
+        """Whether calls to the local backend server may still begin."""
+        limit = min(_BACKEND_QUEUE_OPEN_MS, self._time_to_stop / 3.0)
+        return self._began_at is None or self.elapsed < limit
+
+    def _can_finish(
+        self, elapsed: Milliseconds, route: str, time_left: Milliseconds
+    ) -> bool:
+        """Whether a request ends before the exit, by its deadline or its usual time."""
+        left = self._time_to_stop - _STOP_MARGIN_MS - elapsed
+        if time_left <= left:
+            return True
+        expected = self.route_times.expected(route)
+        if expected is None:
+            return elapsed < min(_REFUSE_AFTER_MS, self._time_to_stop / 2.0)
+        return expected <= left
--- /dev/null
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_planned_stop.py
@@ -0,0 +1,109 @@
+"""Work that begins while a node stops as planned."""
+
+from functools import partial
+
+import trio
+from testtools import TestCase
+
+from fuchsiagap_node.core.mesh.planned_stop import PlannedStop, RouteTimes, Work
+from fuchsiagap_standins.mesh.backend_server import Behaviour, CallFailed
+from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
+from fuchsiagap_standins.mesh.virtual import run_in_memory
+
+PARENT = a_route("parent", "certs", timeout=5_000.0)
+CHILD = a_route("child", "results", timeout=2_500.0)
+CALL_MS = 800.0
+N_CALLS = 6
+
+
+class ManualClock:
+    """Clock that a test sets."""
+
+    def __init__(self):
+        self.time = 1_000.0
+
+    def now(self):
+        """Return the time that was set."""
+        return self.time
+
+
+class TestPlannedStop(TestCase):
+    def test_each_kind_of_work_has_a_last_moment(self):
+        clock = ManualClock()
+        stop = PlannedStop(clock)
+        stop.route_times.record("child", 800.0)
+
+        def last_moment(work, route="", time_left=float("inf")):
+            moments = []
+            for ms in range(0, 6_000, 100):
+                clock.time = 1_000.0 + ms
+                if stop.may_begin(work, route, time_left):
+                    moments.append(ms)
+            return max(moments, default=None)
+
+        self.assertEqual(5_900, last_moment(Work.NESTED_CALL, "child"))
+        clock.time = 1_000.0
+        stop.begin(6_000.0)
+        self.assertEqual(2_900, last_moment(Work.CALLER_REQUEST))
+        self.assertEqual(1_900, last_moment(Work.BACKEND_CALL, "child"))
+        for work in (Work.NESTED_CALL, Work.RETRY):
+            self.assertEqual(4_300, last_moment(work, "child"))
+            self.assertEqual(2_900, last_moment(work, "unknown"))
+            self.assertEqual(5_000, last_moment(work, "unknown", 300.0))
+
+    def test_expected_time_follows_the_longest_request_and_forgets_it(self):
+        times = RouteTimes()
+        self.assertIsNone(times.expected("read"))
+        times.record("read", 2_000.0)
+        times.record("read", 100.0)
+        self.assertGreater(times.expected("read"), 2_000.0)
+        for _ in range(500):
+            times.record("read", 100.0)
+        self.assertEqual(125.0, times.expected("read"))
+        times.retain({"other"})
+        self.assertIsNone(times.expected("read"))
+
+
+class TestNestedCalls(TestCase):
+    def test_no_nested_call_is_broken_off_by_the_exit_of_a_stopping_node(self):
+        async def main():
+            async with a_deployment(PARENT, CHILD) as deployment:
+                caller = deployment.add("bookings")
+                stopping = deployment.add("certs", slots=16)
+                served = deployment.add("results", slots=64)
+                served.server.behave = lambda _: Behaviour(work=CALL_MS)
+                calls = []
+                stopping.server.on_run = partial(call_in_turn, stopping, calls)
+                await deployment.settle()
+                start = trio.current_time()
+                finals = []
+
+                async def send(after, request_id):
+                    await trio.sleep(after)
+                    answer = await caller.send("/parent/1", request_id, 5_000.0)
+                    finals.append(None if answer is None else answer.status)
+
+                async with trio.open_nursery() as nursery:
+                    for number, after in enumerate((0.9, 1.1, 1.3, 1.5)):
+                        nursery.start_soon(send, after, f"r{number}")
+                    await stopping.node.stop()
+                    stopping.kill()
+                calls = [(at - start, status) for at, status in calls]
+                return calls, finals, served.server.runs
+
+        calls, finals, runs = run_in_memory(main)
+        late = [status for at, status in calls if at > 3.0]
+        self.assertEqual({200, 503}, set(late))
+        self.assertEqual([500] * 4, finals)
+        n_answered = [status for _, status in calls].count(200)
+        self.assertEqual(n_answered, sum(runs.values()))
+
+
+async def call_in_turn(host, calls, request_id):
+    """Make calls through the node of a host; append the time and status of each."""
+    for number in range(N_CALLS):
+        at = trio.current_time()
+        answer = await host.send("/child/1", f"{request_id}.{number}", 2_500.0)
+        calls.append((at, None if answer is None else answer.status))
+        if answer is None or answer.status != 200:
+            raise CallFailed
