Acknowledge a departure only once a second place has it

Cause: the acknowledgement waited 0.3 s for another node and was then given anyway. Where the node reached neither another node nor the store and then ended, nobody knew of the departure, and one late heartbeat put the server back into use.

The acknowledgement now needs another node that has received the departure, or the node's entry in the store, for which it waits up to 0.4 s more, within the second that a server waits. Without either the report is answered 503: the departure is in force here, nothing is promised, and the server reports again.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/member_sync.py
@@ -40,6 +40,11 @@
 _STARTUP_LIST_INTERVALS_MS = (1_500.0, 1_500.0, 2_000.0)
 # Maximum age of a list in milliseconds; entries newer than this may be missing.
 _MAX_LIST_STALENESS_MS = 8_000.0
+# Maximum milliseconds for which the acknowledgement of a departure waits for the store,
+# and the interval of the checks. With the wait for another node it stays below the
+# second within which a server expects the acknowledgement.
+_STORED_TIMEOUT_MS = 400.0
+_STORED_POLL_MS = 10.0
 # Milliseconds for which an unlisted node must have been unreachable before it is
 # forgotten; the list may be older than the registration of the node.
 _FORGET_AFTER_MS = 5_000.0
@@ -168,6 +173,19 @@
             self._departures_changed = trio.Event()
             await self._register("departure", is_listed=True)
 
+    async def wait_until_stored(self) -> bool:
+        """Wait a limited time until the store has the departures beside this node.
+
+        Returns
+        -------
+        bool
+            Whether it has them.
+        """
+        with trio.move_on_after(_STORED_TIMEOUT_MS / MS_PER_S):
+            while frozenset(self._own.departures) != self._stored_departures:
+                await trio.sleep(_STORED_POLL_MS / MS_PER_S)
+        return frozenset(self._own.departures) == self._stored_departures
+
     def _read_departures(self, present: Mapping[str, Member]) -> None:
         """Read the departures in the entry of this node."""
         listed = present.get(self._own.node)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -534,7 +534,9 @@
             if not self.backend_queue.has_departed(report):
                 return _text_response(409, f"{report.instance}: a later start is known")
             # This process may end at any time after the acknowledgement.
-            await self._departures.wait_until_received()
+            is_kept = await self._departures.wait_until_received()
+            if not is_kept and not await self._members.wait_until_stored():
+                return _text_response(503, f"{report.instance}: not confirmed yet")
         return FinalResponse(
             200, headers=b"Content-Type: application/json\r\n", body=b"{}"
         )
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_departures.py
@@ -91,17 +91,23 @@
         )
         self.on_changed(tuple(self._register.of_node(self._node)))
 
-    async def wait_until_received(self) -> None:
+    async def wait_until_received(self) -> bool:
         """Wait until another node has the last departure beside this node.
 
         The wait is limited, and ends at once if no node is linked.
+
+        Returns
+        -------
+        bool
+            Whether another node has it.
         """
         if not self._announced or not self.posts():
-            return
+            return self._received.is_set()
         with trio.move_on_after(_RECEIPT_TIMEOUT_MS / MS_PER_S) as scope:
             await self._received.wait()
         if scope.cancelled_caught:
             self._event_log.event("departure-unconfirmed", sent_to=len(self.posts()))
+        return self._received.is_set()
 
     def send_snapshot(self, node: str, post: Post) -> None:
         """Send a newly linked node the departures beside this node and beside it."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -299,6 +299,14 @@
             self.assertGreater(restarted, 10, restarts_node)
 
 
+async def report(host, state):
+    """Send a report of a host's server to its node; return the status."""
+    next_report = host.next_report(state)
+    host.node._read_report = lambda _: next_report
+    client = HttpClient(host.node.cfg.addresses.reports, HeaderNames())
+    return (await client.call("PUT", "/", b"{}", 1_000.0)).status
+
+
 class TestAcknowledgement(TestCase):
     """A departure is acknowledged once it is in force, and known to another node."""
 
@@ -322,6 +330,30 @@
         expected = [(409, True), (409, True), (200, False), (200, False)]
         self.assertEqual(expected, run_in_memory(main))
 
+    def test_departure_that_only_an_ended_process_knew_was_not_acknowledged(self):
+        # The process reaches neither the store nor another node, and ends.
+        async def main(state, is_alone):
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                host.departed = host.server.instance
+                late_heartbeat = host.next_report()
+                host.store.down = is_alone
+                status = await report(host, state)
+                was_used = bool(host.node.backend_queue.instance())
+                host = deployment.restart(host)
+                await trio.sleep(1.0)
+                host.store.down = False
+                await trio.sleep(3.0)
+                host.node.backend_queue.handle_report(late_heartbeat)
+                return status, was_used, bool(host.node.backend_queue.instance())
+
+        for state in (DRAINING, GONE):
+            alone = run_in_memory(partial(main, state, True))
+            self.assertEqual((503, False, True), alone, state)
+            linked = run_in_memory(partial(main, state, False))
+            self.assertEqual((200, False, False), linked, state)
+
     def acknowledge(self, n_nodes, confirms):
         """Return the milliseconds that an acknowledgement waits, and what was sent."""
 
