Release the memory of requests that are read and never started

The bytes of a request that came behind one that closes its connection, or ahead of malformed data in the same read, were counted for good, so that a node would in the end have refused all requests with a body. Found by reading; the test failed before (1,000 bytes still counted).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -297,7 +297,9 @@
             self._reject(exc)
             return
         for req in requests:
-            if not self._ignores_input:
+            if self._ignores_input:
+                self._listener.memory.release(req.n_held)
+            else:
                 self._start(req)
         if (
             self._reader.wants_continue
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
@@ -180,6 +180,8 @@
     def close(self) -> None:
         """Drop what has been read, and the parser, which refers back to this reader."""
         self._reset()
+        for req in self._completed:
+            self._memory.release(req.n_held)
         del self._parser
 
     def on_message_begin(self) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_body_limit.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_body_limit.py
@@ -140,6 +140,24 @@
 
         self.assertEqual((503, 200, {"r2": 1}, 0), run_in_memory(main))
 
+    def test_requests_that_are_never_started_are_not_counted(self):
+        async def main(data):
+            async with a_deployment(WRITE) as deployment:
+                caller, _ = await two_hosts(deployment, lambda _: Behaviour())
+                stream = await dial(caller.node.cfg.addresses.callers, 500.0)
+                await stream.send(data)
+                await trio.sleep(1.0)
+                stream.close()
+                await trio.sleep(0.1)
+                return caller.node.body_memory.held
+
+        small = request_bytes("/write/1", "r1", method="POST", body=b"x" * 1_000)
+        closing = request_bytes(
+            "/write/1", "r1", method="POST", headers={"Connection": "close"}
+        )
+        self.assertEqual(0, run_in_memory(lambda: main(closing + small)))
+        self.assertEqual(0, run_in_memory(lambda: main(small + b"no request\r\n\r\n")))
+
 
 class TestResponses(TestCase):
     def test_responses_that_do_not_fit_fail_and_the_link_stays_open(self):
