--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/large_frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/large_frames.py
@@ -59,6 +59,11 @@
 def decode_fields(payload: memoryview) -> list[object]:
     """Decode an array of fields, copying a large byte string only once.
 
+    Parameters
+    ----------
+    payload : memoryview
+        Encoded array.
+
     Raises
     ------
     ValueError, IndexError
@@ -80,6 +85,13 @@
 def read_integers(payload: memoryview, n: int) -> list[int]:
     """Return the first fields of an array, which have to be unsigned integers.
 
+    Parameters
+    ----------
+    payload : memoryview
+        Beginning of the encoded array.
+    n : int
+        Number of fields.
+
     Raises
     ------
     ValueError, IndexError
