Log each sending of a request and what it came back with

The log could not tell why a request counted as not run: only the cause of the last attempt was written, without the connection or whether a response named the request. New: outcomes in given-up and answered, and at the node beside the server call-unanswered and response-skipped with the number of the connection, the calls that it has carried and the identifier in the response. No decision changes.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -71,9 +71,15 @@
         Time in milliseconds.
     memory : BodyMemory, optional
         Memory for the bodies of answers; by default unlimited.
+    number : int, default=0
+        Number of the connection among those of the process.
 
     Attributes
     ----------
+    number : int
+        Number of the connection among those of the process.
+    on_skipped : callable
+        Called with the connection and each response that is not the answer to its call.
     call : Call or None
         The call whose answer is awaited; None while the connection is idle.
     response : Response or None
@@ -87,8 +93,14 @@
     """
 
     def __init__(
-        self, cfg: MeshSettings, clock: Clock, memory: BodyMemory | None = None
+        self,
+        cfg: MeshSettings,
+        clock: Clock,
+        memory: BodyMemory | None = None,
+        number: int = 0,
     ) -> None:
+        self.number = number
+        self.on_skipped: Callable[[BackendConn, Response], None] = _ignore
         self._cfg = cfg
         self._clock = clock
         self._deadline_line = cfg.names.deadline + b": %d\r\n\r\n"
@@ -135,6 +147,11 @@
             return False
         return not self.is_expired(now)
 
+    @property
+    def n_carried(self) -> int:
+        """Number of calls that it has carried, including the one in progress."""
+        return len(self._carried)
+
     def has_carried(self, request_id: str) -> bool:
         """Whether it has carried a call with the identifier."""
         return request_id in self._carried
@@ -266,6 +283,7 @@
         for index, answer in enumerate(answers):
             if not _is_answer_to(answer, call.request_id):
                 self._got_mismatched_answer = True
+                self.on_skipped(self, answer)
                 continue
             self.response = answer
             is_last = index == len(answers) - 1 and not self._reader.in_message
@@ -311,5 +329,5 @@
     return answer.status >= 400 or not request_id
 
 
-def _ignore(_: BackendConn, __: Outcome | None) -> None:
-    """Ignore a read."""
+def _ignore(_: BackendConn, __: Response | Outcome | None) -> None:
+    """Ignore a read or a response."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 import trio
 
 from fuchsiagap_node.core.mesh.backend_conn import MISDIRECTED_REQUEST, BackendConn
 from fuchsiagap_node.core.mesh.idle_conns import IdleConns
-from fuchsiagap_node.core.mesh.outcome import EXPIRED, MayHaveRun, NotRun, Outcome
+from fuchsiagap_node.core.mesh.outcome import (
+    EXPIRED,
+    MayHaveRun,
+    NotRun,
+    Outcome,
+)
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
 if TYPE_CHECKING:
@@ -70,6 +76,7 @@
         self._memory = memory
         self._poller = poller
         self._all: set[BackendConn] = set()
+        self._numbers = itertools.count(1)
         self._cfg = cfg
         self._clock = clock
         self._event_log = event_log
@@ -114,16 +121,40 @@
                 self._schedule_send_rest(conn)
                 return
             conn = self._idle.take(pending.call, now)
-        conn = BackendConn(self._cfg, self._clock, self._memory)
+        conn = self._new_conn()
         self._assign(conn, pending)
         self._nursery.start_soon(self._open_and_send, conn, pending)
 
+    def _new_conn(self) -> BackendConn:
+        number = next(self._numbers)
+        conn = BackendConn(self._cfg, self._clock, self._memory, number)
+        conn.on_skipped = self._log_skipped
+        return conn
+
     def release(self, pending: PendingCall) -> None:
         """Dissociate a call from its connection."""
         if pending.conn is not None:
             del self._by_conn[pending.conn]
+            pending.conn.response = None
             pending.conn = None
 
+    def log_unanswered(
+        self, pending: PendingCall, outcome: NotRun | MayHaveRun
+    ) -> None:
+        """Write an event for a call that ends without an answer, or is refused."""
+        call, conn = pending.call, pending.conn
+        response = None if conn is None else conn.response
+        self._event_log.event(
+            "call-unanswered",
+            request=call.request_id,
+            instance=call.instance,
+            connection=None if conn is None else conn.number,
+            calls=None if conn is None else conn.n_carried,
+            ran=isinstance(outcome, MayHaveRun),
+            cause=outcome.reason,
+            identifier=None if response is None else response.request_id,
+        )
+
     def abort(self, pending: PendingCall) -> None:
         """Close the connection of a call, which makes the server drop it."""
         conn = pending.conn
@@ -231,16 +262,30 @@
         """Settle the call of a connection, and keep the connection if it is open."""
         conn.call = None
         pending = self._by_conn.get(conn)
-        response, conn.response = conn.response, None
+        response = conn.response
         is_from_target = response is not None and response.status != MISDIRECTED_REQUEST
         if pending is not None and response is not None and is_from_target:
             self.on_response(pending, response)
         self.on_outcome(outcome)
         if not conn.closed:
             self._idle.keep(conn)
-        if pending is not None:
+        if pending is None:
+            conn.response = None
+        else:
             self._settle(pending, outcome)
 
+    def _log_skipped(self, conn: BackendConn, response: Response) -> None:
+        """Write an event for a response that is not the answer to the call."""
+        self._event_log.event(
+            "response-skipped",
+            request=None if conn.call is None else conn.call.request_id,
+            connection=conn.number,
+            calls=conn.n_carried,
+            status=response.status,
+            identifier=response.request_id,
+            not_run=response.not_run,
+        )
+
     def _check_server_up(self) -> None:
         """Probe a suspected server that has no open connection, to detect a crash."""
         is_open = bool(self._by_conn) or len(self._idle) > 0
@@ -249,7 +294,7 @@
 
     async def _probe_server(self) -> None:
         """Open a connection, and keep it for the next call if the server accepts it."""
-        conn = BackendConn(self._cfg, self._clock, self._memory)
+        conn = self._new_conn()
         self._all.add(conn)
         try:
             await conn.open()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -606,6 +606,8 @@
 
     def _settle(self, pending: PendingCall, outcome: Outcome) -> None:
         """Reply to a call that held a slot, and start the next waiting call."""
+        if not isinstance(outcome, Answered):
+            self._conns.log_unanswered(pending, outcome)
         self._conns.release(pending)
         self._queue.running -= 1
         del self._at_server[pending]
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -116,6 +116,7 @@
         "_last",
         "_may_have_run",
         "_offered_to",
+        "_outcomes",
         "_parent_call",
         "_peer",
         "_pending_parent",
@@ -170,6 +171,7 @@
         self._failed_in_nested_call = False
         self._is_quarantined = False
         self._tried: list[str] = []
+        self._outcomes: list[str] = []
         self._offered_to: set[str] = set()
         self._last: Outcome = NotRun(NO_BACKEND)
         self._call: Call | None = None
@@ -317,6 +319,7 @@
                     node, call.instance, self._fingerprint
                 )
             self._tried.append(call.instance)
+            self._outcomes.append(_summary(outcome))
             if not isinstance(outcome, NotRun) or outcome.offered:
                 self._offered_to.add(call.instance)
             self._handle_outcome(outcome)
@@ -419,6 +422,7 @@
                 status=outcome.status,
                 arrivals=self._arrivals + 1,
                 tried=self._tried,
+                outcomes=self._outcomes,
                 below=self._failed_in_nested_call,
                 took=self._elapsed_ms(),
             )
@@ -439,6 +443,7 @@
             arrivals=self._arrivals,
             placements=self._placements,
             tried=self._tried,
+            outcomes=self._outcomes,
             took=self._elapsed_ms(),
         )
         if isinstance(last, Answered):
@@ -468,5 +473,16 @@
         return round(self._context.clock.now() - self._started, 1)
 
 
+def _summary(outcome: Outcome) -> str:
+    """Return an outcome as text for the event log."""
+    match outcome:
+        case Answered(status):
+            return str(status)
+        case NotRun(reason):
+            return f"not run: {reason}"
+        case MayHaveRun(reason):
+            return f"may have run: {reason}"
+
+
 def _ignore(_: FinalResponse) -> None:
     """Ignore the response to a request that has ended."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_late_responses.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_late_responses.py
@@ -1,5 +1,6 @@
 """Late copies of responses from a backend server, on connections that are reused."""
 
+import json
 from functools import partial
 
 import trio
@@ -61,6 +62,37 @@
             statuses = run_in_memory(partial(main, mode))
             self.assertEqual([200, status, 200, 200], statuses)
 
+    def test_log_shows_each_sending_of_a_refused_request(self):
+        async def main():
+            async with a_deployment(WRITE) as deployment:
+                hosts = [deployment.add("certs", budget=AMPLE) for _ in range(2)]
+                for host in hosts:
+                    host.server.behave = partial(refuse_once, 1, set())
+                await deployment.settle()
+                for n in range(3):
+                    await hosts[0].send(f"/write/{n}", f"r{n}", method="POST")
+                lines = [x for host in hosts for x in host.node.event_log.lines()]
+                return [json.loads(line) for line in lines]
+
+        events = run_in_memory(main)
+        refused = [e for e in events if e["event"] == "call-unanswered"]
+        self.assertEqual({"r0", "r1", "r2"}, {e["request"] for e in refused})
+        for event in refused:
+            self.assertEqual(event["request"], event["identifier"])
+            self.assertFalse(event["ran"])
+        skipped = [e for e in events if e["event"] == "response-skipped"]
+        self.assertTrue(skipped)
+        sent = {(e["connection"], e["identifier"]) for e in refused}
+        self.assertLessEqual(
+            {(e["connection"], e["identifier"]) for e in skipped}, sent
+        )
+        answered = [e for e in events if e["event"] == "answered"]
+        for event in answered:
+            self.assertEqual(
+                "not run: backend server refused: 503", event["outcomes"][0]
+            )
+            self.assertEqual("200", event["outcomes"][-1])
+
     def test_connection_carries_an_identifier_only_once(self):
         # A nested call comes again with its identifier when its parent is repeated.
         async def main():
