Answer a request only with a response that names it

What callers saw: requests that may run once ran twice, or were answered 503 and had run, while servers refused requests and sent additional responses without an identifier.

Cause: a response with an error status and no identifier was accepted as the answer to the request in progress. With the header that says that the request was not run, or with status 421, it became a promise. The protocol says that additional bytes after a complete response belong to no request, and that servers echo the identifier; the reason given for accepting such a response, that it can only copy a response that had none, is not in it.

Change: only a response with the identifier of the request answers it. Others are skipped, so the request gets its own answer, which follows on the connection; the connection is closed after that. If a skipped response closes the connection, the request has failed and may have run. A server that names no request costs its callers a time-out (504) where they got its error before.

Tests: test_late_copy_without_identifier_is_no_promise_that_a_request_did_not_run failed before (503 in place of 200). The test of errors without identifier demanded that such an error is passed on with its status (500, 503); it now demands that it is not (504), as strict: 503 is a promise that nothing names. The stand-in echoes the identifier with status 421 too, as servers do.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -284,13 +284,12 @@
             if not _is_answer_to(answer, call.request_id):
                 self._got_mismatched_answer = True
                 self.on_skipped(self, answer)
+                if not answer.keep_alive:
+                    raise BadResponse("closed after an answer to no known request")
                 continue
             self.response = answer
             is_last = index == len(answers) - 1 and not self._reader.in_message
-            # A late copy of an answer without an identifier could not be told from the
-            # answer to the next call.
-            is_identified = answer.request_id == call.request_id
-            is_clean = is_last and is_identified and not self._got_mismatched_answer
+            is_clean = is_last and not self._got_mismatched_answer
             self._keep_or_close(answer, is_clean and bool(data))
             return answer
         if not data:
@@ -319,14 +318,10 @@
 def _is_answer_to(answer: Response, request_id: str) -> bool:
     """Whether an answer belongs to a request.
 
-    Servers echo the identifier, so a late copy of an earlier answer has that of its
-    request. An error without an identifier is accepted: a connection is closed after
-    such an answer, so it cannot be a copy of one. A success without an identifier is
-    not accepted. If the request has no identifier, any answer without one is accepted.
+    Servers echo the identifier. A response without one may be additional bytes that
+    belong to no request, so it answers only a request without an identifier.
     """
-    if answer.request_id:
-        return answer.request_id == request_id
-    return answer.status >= 400 or not request_id
+    return answer.request_id == request_id
 
 
 def _ignore(_: BackendConn, __: Response | Outcome | None) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_late_responses.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_late_responses.py
@@ -43,7 +43,7 @@
         for n_copies in (1, 2):
             self.assertEqual(([200] * 4, once), run_in_memory(partial(main, n_copies)))
 
-    def test_late_copy_of_an_error_without_identifier_answers_no_other_request(self):
+    def test_error_without_identifier_answers_no_request(self):
         async def main(mode):
             async with a_deployment(WRITE) as deployment:
                 host = deployment.add("certs", budget=AMPLE)
@@ -58,9 +58,33 @@
                     statuses.append(answer.status)
                 return statuses
 
-        for mode, status in ((ResponseMode.ANSWER, 500), (ResponseMode.REFUSE, 503)):
+        for mode in (ResponseMode.ANSWER, ResponseMode.REFUSE):
             statuses = run_in_memory(partial(main, mode))
-            self.assertEqual([200, status, 200, 200], statuses)
+            self.assertEqual([200, 504, 200, 200], statuses)
+
+    def test_late_copy_without_identifier_is_no_promise_that_a_request_did_not_run(
+        self,
+    ):
+        async def main(status):
+            async with a_deployment(WRITE) as deployment:
+                host = deployment.add("certs", budget=AMPLE)
+                refusal = Behaviour(
+                    ResponseMode.REFUSE, late_copies=2, copies_id=False, status=status
+                )
+                host.server.behave = lambda req: (
+                    refusal if req.target == b"/write/refused" else Behaviour(work=50.0)
+                )
+                await deployment.settle()
+                statuses = []
+                for n, path in enumerate(["one", "refused", "two", "three"]):
+                    answer = await host.send(f"/write/{path}", f"r{n}", method="POST")
+                    statuses.append(answer.status)
+                return statuses, dict(host.server.runs)
+
+        for status in (503, 421, 400):
+            statuses, runs = run_in_memory(partial(main, status))
+            self.assertEqual([200, 503, 200, 200], statuses)
+            self.assertEqual({"r0": 1, "r2": 1, "r3": 1}, runs)
 
     def test_log_shows_each_sending_of_a_refused_request(self):
         async def main():
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -39,7 +39,8 @@
     ANSWER
         Sends the response.
     REFUSE
-        Responds with 503 and the header that says that the request was not run.
+        Responds with the error status, by default 503, and the header that says that
+        the request was not run.
     CUT
         Closes the connection without a response.
     SHORT
@@ -90,6 +91,8 @@
         Number of copies of the response sent ahead of the next one on the connection.
     echoes_id : bool, default=True
         Whether the response has the identifier of the request.
+    copies_id : bool, default=True
+        Whether the late copies have the identifier that the response has.
     """
 
     mode: ResponseMode = ResponseMode.ANSWER
@@ -99,6 +102,7 @@
     headers: tuple[bytes, ...] = ()
     late_copies: int = 0
     echoes_id: bool = True
+    copies_id: bool = True
 
 
 class BackendServer:
@@ -214,13 +218,14 @@
         self.heads.append(req)
         request_id = _header(req, names.request_id)
         if _header(req, names.target) != self.instance:
-            await stream.send(self._framed_response(421, "", b"", not_run=True))
+            await stream.send(self._framed_response(421, request_id, b"", not_run=True))
             return
         behaviour = self.behave(req)
         if stream in self._late_copies:
             await stream.send(self._late_copies.pop(stream))
         if behaviour.mode is ResponseMode.REFUSE:
-            behaviour = replace(behaviour, status=503, body=b"")
+            status = behaviour.status if behaviour.status >= 400 else 503
+            behaviour = replace(behaviour, status=status, body=b"")
             await self._respond(stream, request_id, behaviour, not_run=True)
             return
         self.runs[request_id] += 1
@@ -295,7 +300,8 @@
             b.status, echoed_id, b.body, not_run, b.headers
         )
         if b.late_copies:
-            self._late_copies[stream] = response * b.late_copies
+            copy = response if b.copies_id else _without_id(response, self._names)
+            self._late_copies[stream] = copy * b.late_copies
         await stream.send(response)
 
     def _framed_response(
@@ -324,6 +330,13 @@
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
+def _without_id(response: bytes, names: HeaderNames) -> bytes:
+    """Return a response without the identifier of its request."""
+    head, _, body = response.partition(b"\r\n\r\n")
+    lines = [x for x in head.split(b"\r\n") if not x.startswith(names.request_id)]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
 def _header(req: Request, name: bytes) -> str:
     for line in req.headers.split(b"\r\n"):
         key, _, value = line.partition(b": ")
