Reject a response that is joined to a truncated one

A server may truncate a response and send the next one behind it. If the first was cut within a header value or its reason phrase, the parser took both heads as one: status 503 and Not-Run of the truncated refusal, with the identifier of the answer that followed. The request counted as not run while it had run, and was sent on. Found by reading, from the same class as responses without an identifier: a promise that was put together from bytes that name another request, or none.

A status line within a header value or the reason phrase, and two different identifiers, now make the response malformed: the request may have run. Trailers are no longer taken for headers; a refusal could be made of one. Malformed data behind a skipped response ends the request at once, not at its deadline.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -294,6 +294,8 @@
             return answer
         if not data:
             raise BadResponse("the connection ended without an answer")
+        if self._reader.is_malformed:
+            raise BadResponse("malformed data after an answer to another request")
         return None
 
     def _keep_or_close(self, answer: Response, clean: bool) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+import re
+from typing import TYPE_CHECKING, NamedTuple, NoReturn
 
 import httptools
 
@@ -13,6 +14,10 @@
 if TYPE_CHECKING:
     from fuchsiagap_node.core.mesh.http_names import HeaderNames
 
+# A status line within a header or a reason phrase: the response was truncated there,
+# and the next one follows.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
 
 class Response(NamedTuple):
     """One complete HTTP response.
@@ -79,6 +84,8 @@
     in_message : bool
         Whether a response has begun and is not complete, or malformed data has followed
         a complete one.
+    is_malformed : bool
+        Whether malformed data has followed a complete response.
     """
 
     def __init__(self, names: HeaderNames, memory: BodyMemory | None = None) -> None:
@@ -92,8 +99,10 @@
         self._instance_name = names.instance.lower()
         self._parser = httptools.HttpResponseParser(self)
         self._completed: list[Response] = []
+        self._error: BadResponse | None = None
         self._reset()
         self.in_message = False
+        self.is_malformed = False
 
     def _reset(self) -> None:
         self._reason = b""
@@ -125,17 +134,24 @@
         ------
         BadResponse
             If the data is malformed and completes no response. Malformed data after a
-            complete response only sets `in_message`.
+            complete response only sets `in_message` and `is_malformed`.
         """
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
             if self._completed:
-                self.in_message = True
+                self.in_message = self.is_malformed = True
                 return self._take_completed()
-            raise BadResponse(f"malformed HTTP/1.1 response: {exc}") from None
+            raise self._error or BadResponse(
+                f"malformed HTTP/1.1 response: {exc}"
+            ) from None
         return self._take_completed()
 
+    def _fail(self, reason: str) -> NoReturn:
+        """Make `feed` raise the reason, from within a callback of the parser."""
+        self._error = BadResponse(reason)
+        raise self._error
+
     def end(self) -> list[Response]:
         """Process the orderly end of the connection.
 
@@ -175,7 +191,10 @@
         self._reason += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Process one header."""
+        """Process one header; trailers are dropped."""
+        if self._is_head_complete:
+            return
+        self._check_not_truncated(value)
         lower_name = name.lower()
         if lower_name in HOP_HEADERS:
             if lower_name == b"keep-alive":
@@ -186,7 +205,7 @@
                     self._length = int(value)
             return
         if lower_name == self._id_name:
-            self._request_id = value.decode("latin-1")
+            self._set_request_id(value.decode("latin-1"))
         elif lower_name == self._not_run_name:
             self._not_run = True
         elif lower_name == self._load_name:
@@ -199,8 +218,19 @@
             self._instance = value.decode("latin-1")
         self._lines.append(name + b": " + value + b"\r\n")
 
+    def _set_request_id(self, request_id: str) -> None:
+        if self._request_id not in ("", request_id):
+            self._fail("response with two identifiers")
+        self._request_id = request_id
+
+    def _check_not_truncated(self, text: bytes) -> None:
+        """Fail if a header value or reason phrase contains the next response's head."""
+        if b"HTTP/" in text and _STATUS_LINE.search(text):
+            self._fail("status line within the head of a response")
+
     def on_headers_complete(self) -> None:
         """Mark the head as complete, and reserve memory for the whole body."""
+        self._check_not_truncated(self._reason)
         self._is_head_complete = True
         self._hold(self._length)
 
@@ -215,7 +245,7 @@
         if n_bytes < LARGE_BODY_BYTES or n_bytes <= self._n_held:
             return
         if not self._memory.fits(n_bytes - self._n_held):
-            raise BadResponse("no memory for the body of the response")
+            self._fail("no memory for the body of the response")
         self._memory.hold(n_bytes - self._n_held)
         self._n_held = n_bytes
 
