Report a request as sent once its head was sent

The request was then sent on another connection, or reported as not run, while its head was with the server (callers got 503). Now the rest counts as unsent, and the reading side reports the break: the request may have run.

test_request_is_not_sent_again_when_its_head_was_sent_before_a_reset failed before: 503 in place of 502. A link may lose a true "not run" by this (a frame whose second part finds a reset); it is never untrue.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
@@ -137,7 +137,7 @@
         try:
             rest = self._stream.send_parts(frame)
         except BrokenStream:
-            # No byte of it was sent; the reader notices the closed connection.
+            # Nothing of it was sent; the reader notices the closed connection.
             self._unsent.append(call_id)
             self._stream.close()
             return
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -199,14 +199,32 @@
         ----------
         parts : iterable of bytes or memoryview
             Parts of the data. A large part is never copied.
+
+        Returns
+        -------
+        list of bytes or memoryview
+            What has not been sent; also if the connection breaks after a part of the
+            data was sent.
+
+        Raises
+        ------
+        BrokenStream
+            If the connection was already broken and nothing was sent.
         """
         unsent: list[Buffer] = []
+        has_sent = False
         for part in parts:
             if unsent:
                 unsent.append(part)
                 continue
             large = len(part) >= READ_BYTES
-            rest = self.send_some(memoryview(part) if large else part)
+            try:
+                rest = self.send_some(memoryview(part) if large else part)
+            except BrokenStream:
+                if not has_sent:
+                    raise
+                rest = part
+            has_sent = True
             if rest:
                 unsent.append(rest)
         return unsent
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_resets.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_resets.py
@@ -8,12 +8,17 @@
 with a new identifier, and is reported as such.
 """
 
+from functools import partial
+from unittest import mock
+
 import trio
 from testtools import TestCase
 
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.stream import BrokenStream, dial
 from fuchsiagap_standins.mesh.backend_server import Behaviour
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route, request_bytes
+from fuchsiagap_standins.mesh.memory_sockets import MemorySocket
 from fuchsiagap_standins.mesh.virtual import run_in_memory
 
 WRITE = a_route("write", idempotent=False, timeout=2_000.0)
@@ -151,3 +156,43 @@
 
         # Unknown outcome: neither a response nor a statement that it did not run.
         self.assertEqual((502, ["asked"]), run_in_memory(main))
+
+
+def reset_after_heads(heads):
+    """Return a patch that resets connections to servers after a head is sent.
+
+    Parameters
+    ----------
+    heads : list of MemorySocket
+        Receives the socket of each head.
+    """
+    original = MemorySocket.send
+
+    def send(sock, data):
+        if sock in heads and len(data) >= LARGE_BODY_BYTES:
+            sock._is_reset = True
+            sock._wake_reader()
+            raise ConnectionResetError
+        if b"Incarnation-Wanted" in bytes(data):
+            heads.append(sock)
+        return original(sock, data)
+
+    return mock.patch.object(MemorySocket, "send", send)
+
+
+class TestResetsDuringSend(TestCase):
+    def test_request_is_not_sent_again_when_its_head_was_sent_before_a_reset(self):
+        async def main(n_before):
+            async with a_deployment(WRITE) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                for n in range(n_before):
+                    await host.send(f"/write/{n}", f"r{n}", method="POST")
+                heads = []
+                with reset_after_heads(heads):
+                    body = bytes(2 * LARGE_BODY_BYTES)
+                    answer = await host.send("/write/1", "x", method="POST", body=body)
+                return answer.status, len(heads)
+
+        for n_before in (0, 1):
+            self.assertEqual((502, 1), run_in_memory(partial(main, n_before)))
