Bound each part of a message that may have no end

Cause: only bodies were bounded, and counted by their content. Head, trailers, chunk extensions, informational responses and responses to other requests were not, for servers and partly for callers (a header or a chunk extension that is never complete).

Change: limits for each part of a response (ResponseLimits) and of a request; what the parser has not completed counts too, before more is copied. Beyond a limit the connection is closed and the request has its outcome at once (502, or another server). Responses of the store and to health checks are bounded to 16 MiB, frames between nodes that carry no body as well.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -80,6 +80,10 @@
         Number of the connection among those of the process.
     on_skipped : callable
         Called with the connection and each response that is not the answer to its call.
+    on_too_long : callable
+        Called with the connection and the part of a response that exceeds its limit.
+    n_received : int
+        Number of bytes received since the call in progress was sent.
     call : Call or None
         The call whose answer is awaited; None while the connection is idle.
     response : Response or None
@@ -101,13 +105,16 @@
     ) -> None:
         self.number = number
         self.on_skipped: Callable[[BackendConn, Response], None] = _ignore
+        self.on_too_long: Callable[[BackendConn, str], None] = _ignore
+        self.n_received = 0
         self._cfg = cfg
         self._clock = clock
         self._deadline_line = cfg.names.deadline + b": %d\r\n\r\n"
         self._stream: Stream | None = None
-        self._reader = ResponseReader(cfg.names, memory)
+        self._limits = cfg.response_limits
+        self._reader = ResponseReader(cfg.names, memory, self._limits)
+        self._n_skipped = 0
         self._unsent: list[Buffer] = []
-        self._got_mismatched_answer = False
         self._carried: set[str] = set()
         self.idle_since: Milliseconds = 0.0
         self._max_idle_ms = _DEFAULT_IDLE_TIMEOUT_MS
@@ -186,6 +193,7 @@
             self.close()
             return False
         self.call = call
+        self.n_received = 0
         self._carried.add(call.request_id)
         return True
 
@@ -232,9 +240,12 @@
             self.close()
             self._on_read(self, None)
             return
+        self.n_received += len(data)
         try:
             answer = self._read_answer(data, self.call)
         except BadResponse as exc:
+            if exc.part:
+                self.on_too_long(self, exc.part)
             self._fail(exc)
         else:
             self._on_read(self, None if answer is None else _outcome(answer))
@@ -282,14 +293,16 @@
         answers = self._reader.feed(data) if data else self._reader.end()
         for index, answer in enumerate(answers):
             if not _is_answer_to(answer, call.request_id):
-                self._got_mismatched_answer = True
+                self._n_skipped += 1
                 self.on_skipped(self, answer)
+                if self._n_skipped > self._limits.n_skipped:
+                    raise BadResponse("too many responses to no request", "skipped")
                 if not answer.keep_alive:
                     raise BadResponse("closed after an answer to no known request")
                 continue
             self.response = answer
             is_last = index == len(answers) - 1 and not self._reader.in_message
-            is_clean = is_last and not self._got_mismatched_answer
+            is_clean = is_last and not self._n_skipped
             self._keep_or_close(answer, is_clean and bool(data))
             return answer
         if not data:
@@ -326,5 +339,5 @@
     return answer.request_id == request_id
 
 
-def _ignore(_: BackendConn, __: Response | Outcome | None) -> None:
-    """Ignore a read or a response."""
+def _ignore(_: BackendConn, __: Response | Outcome | str | None) -> None:
+    """Default callback; does nothing."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
@@ -129,6 +129,7 @@
         number = next(self._numbers)
         conn = BackendConn(self._cfg, self._clock, self._memory, number)
         conn.on_skipped = self._log_skipped
+        conn.on_too_long = self._log_too_long
         return conn
 
     def release(self, pending: PendingCall) -> None:
@@ -286,6 +287,17 @@
             not_run=response.not_run,
         )
 
+    def _log_too_long(self, conn: BackendConn, part: str) -> None:
+        """Write an event for a response of which a part exceeds its limit."""
+        self._event_log.counts["responses_too_long", part] += 1
+        self._event_log.event(
+            "response-too-long",
+            request=None if conn.call is None else conn.call.request_id,
+            connection=conn.number,
+            part=part,
+            received=conn.n_received,
+        )
+
     def _check_server_up(self) -> None:
         """Probe a suspected server that has no open connection, to detect a crash."""
         is_open = bool(self._by_conn) or len(self._idle) > 0
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/frames.py
@@ -49,6 +49,9 @@
 
 # Maximum size of a frame: a body at the default limit of 64 MB and its head.
 MAX_FRAME_BYTES = 80_000_000
+# Maximum size of a frame without a body of a request or response, such as a
+# configuration.
+MAX_CONTROL_FRAME_BYTES = 16_777_216
 _PREFIX_BYTES = 4
 # Bytes after which the kind and the call of a message are known.
 _MIN_HEAD_BYTES = 32
@@ -571,7 +574,20 @@
         return messages
 
     def _hold_or_drop(self, body: int, size: int) -> Dropped | None:
-        """Reserve memory for an incomplete frame; return it if it has to be skipped."""
+        """Reserve memory for an incomplete frame; return it if it has to be skipped.
+
+        Parameters
+        ----------
+        body : int
+            Index of the frame's content in the buffer.
+        size : int
+            Number of bytes of the content.
+
+        Raises
+        ------
+        BadFrame
+            If it carries no body and is larger than such a frame may be.
+        """
         if len(self._buffer) - body < _MIN_HEAD_BYTES:
             return None
         head = memoryview(bytes(self._buffer[body : body + _MIN_HEAD_BYTES]))
@@ -579,6 +595,11 @@
             kind, call_id = read_integers(head, 2)
         except (ValueError, IndexError):
             kind = call_id = -1
+        if kind not in (_CALL, _ANSWERED) and size > MAX_CONTROL_FRAME_BYTES:
+            raise BadFrame(
+                f"frame of kind {kind} and {size} bytes exceeds "
+                f"{MAX_CONTROL_FRAME_BYTES} bytes"
+            )
         if not self._memory.fits(size):
             if kind == _CALL:
                 return DroppedCall(call_id)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_client.py
@@ -7,6 +7,7 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
 from fuchsiagap_node.core.mesh.http_response import BadResponse, ResponseReader
 from fuchsiagap_node.core.mesh.stream import BrokenStream, Stream, dial
 
@@ -17,6 +18,8 @@
 
 # Milliseconds within which a connection has to open.
 _CONNECT_TIMEOUT_MS = 1_000.0
+# Maximum size in bytes of the body of a response.
+_MAX_BODY_BYTES = 16_777_216
 
 
 class CallFailed(Exception):
@@ -108,7 +111,7 @@
         if body or method in ("POST", "PUT"):
             lines.append(f"Content-Length: {len(body)}")
         await stream.send("\r\n".join([*lines, "", ""]).encode() + body)
-        reader = ResponseReader(self._names)
+        reader = ResponseReader(self._names, BodyMemory(_MAX_BODY_BYTES))
         while True:
             data = await stream.receive()
             responses = reader.feed(data) if data else reader.end()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
@@ -8,6 +8,7 @@
 
 from fuchsiagap.core.workspaces.keys import key_digest
 from fuchsiagap_node.core.mesh.body_memory import BodyMemory
+from fuchsiagap_node.core.mesh.body_parts import BodyParts
 from fuchsiagap_node.core.mesh.http_names import HOP_HEADERS
 
 if TYPE_CHECKING:
@@ -125,9 +126,13 @@
         self._deadline_name = names.deadline.lower()
         self._identity_names = frozenset(name.lower() for name in names.identity)
         self._limits = limits
+        self._body = BodyParts()
         self._parser = httptools.HttpRequestParser(self)
         self._completed: list[Request] = []
         self._error: BadRequest | None = None
+        # Bytes since the parser last completed a part of a message.
+        self._n_pending = 0
+        self._has_progress = False
         self.wants_continue = False
         self.in_message = False
         self._reset()
@@ -141,8 +146,9 @@
         self._host = ""
         self._id = ""
         self._wait: float | None = None
-        self._body: list[bytes] = []
-        self._body_size = 0
+        if self._body.size:
+            self._body.clear()
+        self._n_body_bytes = 0
         self._head_size = 0
         self._has_length = False
         self._length: int | None = None
@@ -164,8 +170,12 @@
         BadRequest
             If the data is not a valid request; the connection has to be closed.
         """
+        if self._has_progress:
+            self._n_pending, self._has_progress = 0, False
         try:
             self._parser.feed_data(data)
+            if not self._has_progress:
+                self._check_pending(len(data))
         except httptools.HttpParserUpgrade:
             raise BadRequest(400, "upgrade is not supported") from None
         except (httptools.HttpParserError, ValueError) as exc:
@@ -177,6 +187,12 @@
         completed, self._completed = self._completed, []
         return completed
 
+    def _check_pending(self, n_bytes: int) -> None:
+        """Fail if a part is too long that the parser has not completed yet."""
+        self._n_pending += n_bytes
+        if self._n_pending > self._limits.header_bytes:
+            self._fail_head_too_long()
+
     def close(self) -> None:
         """Drop what has been read, and the parser, which refers back to this reader."""
         self._reset()
@@ -229,6 +245,7 @@
 
     def on_headers_complete(self) -> None:
         """Reserve memory for the body, or refuse the request."""
+        self._has_progress = True
         if not self._has_length:
             return
         self._rank = self._rank_of(self._host, self._target, self._id)
@@ -245,13 +262,14 @@
         self._is_refused = True
         self._memory.release(self._n_held)
         self._n_held = 0
-        self._body = []
+        self._body.clear()
         self._complete()
 
     def on_body(self, part: bytes) -> None:
         """Append to the body; fail above the size limit."""
-        self._body_size += len(part)
-        if self._body_size > self._limits.body_bytes:
+        self._has_progress = True
+        self._n_body_bytes += len(part)
+        if self._n_body_bytes > self._limits.body_bytes:
             limit = self._limits.body_bytes
             self._fail(BadRequest(413, f"body exceeds {limit} bytes"))
         if self._length is None and not self._is_refused:
@@ -261,9 +279,12 @@
         )
         if not self._is_refused and not is_too_large:
             self._body.append(part)
+            if self._length is None and self._body.has_too_small_parts:
+                self._fail(BadRequest(400, "body in too many small chunks"))
 
     def on_message_complete(self) -> None:
         """Complete a request."""
+        self._has_progress = True
         self.in_message = False
         if not self._is_refused:
             self._complete()
@@ -277,7 +298,7 @@
             lines = [
                 x for x in lines if x.split(b":", 1)[0].lower() not in self._hop_names
             ]
-        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        body = self._body.take()
         if self._has_length:
             lines.append(b"Content-Length: %d\r\n" % len(body))
         self._completed.append(
@@ -300,13 +321,17 @@
         )
         # Whoever takes the request releases the memory.
         self._n_held = 0
-        self._lines, self._body = [], []
+        self._lines = []
 
     def _add_head_size(self, size: int) -> None:
+        self._has_progress = True
         self._head_size += size
         if self._head_size > self._limits.header_bytes:
-            limit = self._limits.header_bytes
-            self._fail(BadRequest(431, f"request head exceeds {limit} bytes"))
+            self._fail_head_too_long()
+
+    def _fail_head_too_long(self) -> None:
+        limit = self._limits.header_bytes
+        self._fail(BadRequest(431, f"request head exceeds {limit} bytes"))
 
     def _fail(self, error: BadRequest) -> None:
         self._error = self._error or error
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import re
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, NamedTuple, NoReturn
 
 import httptools
 
 from fuchsiagap_node.core.mesh.body_memory import BodyMemory
+from fuchsiagap_node.core.mesh.body_parts import BodyParts
 from fuchsiagap_node.core.mesh.http_names import HOP_HEADERS
 from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 
@@ -18,6 +20,9 @@
 # and the next one follows.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
+# Share of the memory for bodies that a body of unknown length may take.
+_MAX_UNSTATED_SHARE = 0.5
+
 
 class Response(NamedTuple):
     """One complete HTTP response.
@@ -65,7 +70,42 @@
 
 
 class BadResponse(Exception):
-    """The data is not a complete HTTP response."""
+    """The data is not a complete HTTP response.
+
+    Parameters
+    ----------
+    detail : str
+        What was found and what was expected.
+    part : str, default=""
+        Part of a response that exceeds its limit; empty if none does.
+    """
+
+    def __init__(self, detail: str, part: str = "") -> None:
+        super().__init__(detail)
+        self.part = part
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseLimits:
+    """Limits of a response, apart from the memory for its body.
+
+    Parameters
+    ----------
+    line_bytes : int
+        Maximum size in bytes of the reason phrase, of one header, and of a chunk
+        extension.
+    head_bytes : int
+        Maximum size in bytes of all headers, and of all trailers.
+    n_informational : int
+        Maximum number of informational responses (1xx) ahead of a final one.
+    n_skipped : int
+        Maximum number of responses to other requests ahead of the awaited one.
+    """
+
+    line_bytes: int = 16_384
+    head_bytes: int = 65_536
+    n_informational: int = 32
+    n_skipped: int = 16
 
 
 class ResponseReader:
@@ -77,7 +117,9 @@
         Header names.
     memory : BodyMemory, optional
         Memory for bodies; by default unlimited. A large body that does not fit is
-        malformed.
+        malformed, and so is one of unknown length that takes half of the memory.
+    limits : ResponseLimits, optional
+        Limits of the other parts.
 
     Attributes
     ----------
@@ -88,8 +130,20 @@
         Whether malformed data has followed a complete response.
     """
 
-    def __init__(self, names: HeaderNames, memory: BodyMemory | None = None) -> None:
+    def __init__(
+        self,
+        names: HeaderNames,
+        memory: BodyMemory | None = None,
+        limits: ResponseLimits | None = None,
+    ) -> None:
         self._memory = memory or BodyMemory()
+        limits = limits or ResponseLimits()
+        self._line_bytes, self._head_bytes = limits.line_bytes, limits.head_bytes
+        self._max_informational = limits.n_informational
+        self._n_informational = 0
+        # Bytes since the parser last completed a part of a message.
+        self._n_pending = 0
+        self._has_progress = False
         self._n_held = 0
         self._id_name = names.request_id.lower()
         self._not_run_name = names.not_run.lower()
@@ -97,6 +151,7 @@
         self._rate_limit_name = names.rate_limit.lower()
         self._leaving_name = names.leaving.lower()
         self._instance_name = names.instance.lower()
+        self._body = BodyParts()
         self._parser = httptools.HttpResponseParser(self)
         self._completed: list[Response] = []
         self._error: BadResponse | None = None
@@ -107,9 +162,11 @@
     def _reset(self) -> None:
         self._reason = b""
         self._lines: list[bytes] = []
-        self._body: list[bytes] = []
-        self._body_size = 0
-        self._length = 0
+        self._headers = b""
+        if self._body.size:
+            self._body.clear()
+        self._length: int | None = None
+        self._n_head_bytes = 0
         self._memory.release(self._n_held)
         self._n_held = 0
         self._request_id = ""
@@ -136,9 +193,17 @@
             If the data is malformed and completes no response. Malformed data after a
             complete response only sets `in_message` and `is_malformed`.
         """
+        if self._has_progress:
+            self._n_pending, self._has_progress = 0, False
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            if not self._has_progress:
+                self._check_pending(len(data))
+        except (
+            BadResponse,
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as exc:
             if self._completed:
                 self.in_message = self.is_malformed = True
                 return self._take_completed()
@@ -147,11 +212,20 @@
             ) from None
         return self._take_completed()
 
-    def _fail(self, reason: str) -> NoReturn:
+    def _fail(self, reason: str, part: str = "") -> NoReturn:
         """Make `feed` raise the reason, from within a callback of the parser."""
-        self._error = BadResponse(reason)
+        self._error = BadResponse(reason, part)
         raise self._error
 
+    def _check_pending(self, n_bytes: int) -> None:
+        """Fail if a part is too long that the parser has not completed yet."""
+        self._n_pending += n_bytes
+        if self._n_pending > self._line_bytes:
+            self._fail_too_long("line", self._line_bytes)
+
+    def _fail_too_long(self, part: str, limit: int) -> NoReturn:
+        self._fail(f"{part} of a response exceeds {limit} bytes", part)
+
     def end(self) -> list[Response]:
         """Process the orderly end of the connection.
 
@@ -188,15 +262,23 @@
 
     def on_status(self, part: bytes) -> None:
         """Append to the reason phrase."""
+        self._has_progress = True
+        if len(self._reason) + len(part) > self._line_bytes:
+            self._fail_too_long("line", self._line_bytes)
         self._reason += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process one header; trailers are dropped."""
+        self._has_progress = True
+        n_bytes = len(name) + len(value) + 4
+        self._n_head_bytes += n_bytes
+        if n_bytes > self._line_bytes or self._n_head_bytes > self._head_bytes:
+            self._fail_head(n_bytes)
         if self._is_head_complete:
             return
-        self._check_not_truncated(value)
         lower_name = name.lower()
         if lower_name in HOP_HEADERS:
+            self._check_not_truncated(value)
             if lower_name == b"keep-alive":
                 self._idle_timeout = _idle_timeout(value)
             elif lower_name != b"connection":
@@ -224,35 +306,62 @@
         self._request_id = request_id
 
     def _check_not_truncated(self, text: bytes) -> None:
-        """Fail if a header value or reason phrase contains the next response's head."""
+        """Fail if headers or a reason phrase contain the head of the next response."""
         if b"HTTP/" in text and _STATUS_LINE.search(text):
             self._fail("status line within the head of a response")
 
+    def _fail_head(self, n_bytes: int) -> NoReturn:
+        """Fail because a header or trailer, or all of them, are too long."""
+        if n_bytes > self._line_bytes:
+            self._fail_too_long("line", self._line_bytes)
+        part = "trailers" if self._is_head_complete else "headers"
+        self._fail_too_long(part, self._head_bytes)
+
     def on_headers_complete(self) -> None:
         """Mark the head as complete, and reserve memory for the whole body."""
+        self._has_progress = True
+        self._headers = b"".join(self._lines)
         self._check_not_truncated(self._reason)
+        self._check_not_truncated(self._headers)
         self._is_head_complete = True
-        self._hold(self._length)
+        self._n_head_bytes = 0
+        if self._length is not None and self._length >= LARGE_BODY_BYTES:
+            self._hold(self._length)
 
     def on_body(self, part: bytes) -> None:
         """Append to the body."""
+        self._has_progress = True
         self._body.append(part)
-        self._body_size += len(part)
-        self._hold(self._body_size)
+        if self._length is None:
+            self._check_unstated_length()
+        if self._body.size >= LARGE_BODY_BYTES:
+            self._hold(self._body.size)
+
+    def _check_unstated_length(self) -> None:
+        """Fail if a body of unknown length uses more than its share."""
+        if self._body.has_too_small_parts:
+            self._fail("body in too many small chunks", "body")
+        if self._body.size > self._memory.limit * _MAX_UNSTATED_SHARE:
+            self._fail("body of unknown length uses too much memory", "body")
 
     def _hold(self, n_bytes: int) -> None:
-        """Reserve memory for a body of `n_bytes` in total, if it is large."""
-        if n_bytes < LARGE_BODY_BYTES or n_bytes <= self._n_held:
+        """Reserve memory for a large body of `n_bytes` in total."""
+        if n_bytes <= self._n_held:
             return
         if not self._memory.fits(n_bytes - self._n_held):
-            self._fail("no memory for the body of the response")
+            self._fail("no memory for the body of the response", "body")
         self._memory.hold(n_bytes - self._n_held)
         self._n_held = n_bytes
 
     def on_message_complete(self) -> None:
         """Complete a response; informational ones (1xx) are dropped."""
+        self._has_progress = True
         if self._parser.get_status_code() >= 200:
             self._finish(self._parser.should_keep_alive())
+            return
+        self._n_informational += 1
+        if self._n_informational > self._max_informational:
+            self._fail("too many informational responses", "informational")
 
     def _finish(self, keep_alive: bool) -> None:
         self.in_message = False
@@ -260,8 +369,8 @@
             Response(
                 self._parser.get_status_code(),
                 self._reason,
-                b"".join(self._lines),
-                self._body[0] if len(self._body) == 1 else b"".join(self._body),
+                self._headers,
+                self._body.take(),
                 self._request_id,
                 self._not_run,
                 self._instance,
@@ -272,7 +381,9 @@
                 keep_alive,
             )
         )
-        self._lines, self._body = [], []
+        self._lines = []
+        self._headers = b""
+        self._n_informational = 0
         self._memory.release(self._n_held)
         self._n_held = 0
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/settings.py
@@ -8,6 +8,7 @@
 from fuchsiagap.core.quarantine.quarantine import QuarantineSettings
 from fuchsiagap.core.retries.backend_budget import ServiceRetryLimits
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
+from fuchsiagap_node.core.mesh.http_response import ResponseLimits
 
 if TYPE_CHECKING:
     from fuchsiagap.core.clock import Milliseconds
@@ -95,6 +96,8 @@
         Whether the whole system starts for the first time.
     memory_bytes : float
         Memory that the process may use.
+    response_limits : ResponseLimits
+        Limits of the responses of the backend server.
     """
 
     node: str
@@ -113,3 +116,4 @@
     health_path: str = "/readiness"
     first_start: bool = False
     memory_bytes: float = 300_000_000.0
+    response_limits: ResponseLimits = field(default_factory=ResponseLimits)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_frames.py
@@ -10,7 +10,13 @@
 
 from fuchsiagap.core.backend_queue.departures import Departure
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
-from fuchsiagap_node.core.mesh.frames import BadFrame, decode, encode
+from fuchsiagap_node.core.mesh.frames import (
+    MAX_CONTROL_FRAME_BYTES,
+    BadFrame,
+    FrameReader,
+    decode,
+    encode,
+)
 from fuchsiagap_node.core.mesh.message_level import (
     MESSAGE_LEVEL,
     is_understood,
@@ -202,6 +208,16 @@
     def test_unbounded_nesting_is_rejected(self):
         self.assertRaises(BadFrame, decode, b"\x81" * 100_000)
 
+    def test_frame_without_body_that_states_a_large_size_is_rejected(self):
+        payload = encode(EncodedConfig(2, 3, bytes(100)))[_PREFIX_BYTES:]
+        for size in (MAX_CONTROL_FRAME_BYTES, MAX_CONTROL_FRAME_BYTES + 1):
+            reader = FrameReader()
+            frame = size.to_bytes(_PREFIX_BYTES, "big") + payload
+            if size <= MAX_CONTROL_FRAME_BYTES:
+                self.assertEqual([], reader.feed(frame))
+            else:
+                self.assertRaises(BadFrame, reader.feed, frame)
+
     def test_mutated_frame_is_decoded_or_raises_bad_frame(self):
         rng = random.Random(1)
         for _ in range(N_RUNS):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
@@ -1,9 +1,13 @@
 """Responses that are cut short and followed by others, and parts without an end."""
 
+import tracemalloc
+
 from testtools import TestCase
 
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
 from fuchsiagap_node.core.mesh.http_response import BadResponse, ResponseReader
+from fuchsiagap_node.core.mesh.stream import READ_BYTES
 
 NAMES = HeaderNames()
 ANSWER = b"HTTP/1.1 200 OK\r\nCall-Id: new\r\nContent-Length: 2\r\n\r\nok"
@@ -49,3 +53,83 @@
         self.assertFalse(response.not_run)
         self.assertEqual("new", response.request_id)
         self.assertNotIn(NAMES.not_run, response.headers)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Parts of a response by name: what precedes the part, and what it repeats without end.
+ENDLESS_PARTS = {
+    "status line": (b"HTTP/1.1 200 O", b"o"),
+    "header name": (HEAD, b"a"),
+    "header value": (HEAD + b"A: ", b"x"),
+    "headers": (HEAD, b"a: b\r\n"),
+    "trailers": (CHUNKED + b"0\r\n", b"a: b\r\n"),
+    "chunk extension": (CHUNKED + b"1;", b"x"),
+    "informational responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "line breaks": (b"", b"\r\n"),
+    "small chunks": (CHUNKED, b"1\r\nx\r\n"),
+}
+
+
+def read_until_rejected(prefix, unit, block_bytes, memory=None):
+    """Return how many bytes are read before a response is rejected, and the memory."""
+    reader = ResponseReader(NAMES, memory)
+    block = unit * max(block_bytes // len(unit), 1)
+    n_read = len(prefix)
+    tracemalloc.start()
+    try:
+        reader.feed(prefix)
+        while n_read < 8_000_000:
+            reader.feed(block)
+            n_read += len(block)
+    except BadResponse as exc:
+        return n_read, tracemalloc.get_traced_memory()[1], exc.part
+    finally:
+        tracemalloc.stop()
+    return n_read, tracemalloc.get_traced_memory()[1], None
+
+
+class TestResponsesWithoutEnd(TestCase):
+    def test_part_without_end_is_rejected(self):
+        for name, (prefix, unit) in ENDLESS_PARTS.items():
+            for block_bytes in (READ_BYTES, 512):
+                n_read, peak, part = read_until_rejected(prefix, unit, block_bytes)
+                self.assertIsNotNone(part, name)
+                self.assertLess(n_read, 600_000, name)
+                self.assertLess(peak, 4_000_000, name)
+
+    def test_part_without_end_is_rejected_when_it_comes_byte_by_byte(self):
+        for name in ("header value", "headers", "trailers"):
+            n_read, _, part = read_until_rejected(*ENDLESS_PARTS[name], 1)
+            self.assertIsNotNone(part, name)
+            self.assertLess(n_read, 200_000, name)
+
+    def test_small_chunks_are_joined(self):
+        reader = ResponseReader(NAMES)
+        reader.feed(CHUNKED)
+        tracemalloc.start()
+        for _ in range(60):
+            reader.feed(b"1\r\nx\r\n" * 1_000)
+        (response,) = reader.feed(b"0\r\n\r\n")
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        self.assertEqual(b"x" * 60_000, response.body)
+        self.assertLess(peak, 1_000_000)
+
+    def test_body_of_unknown_length_takes_half_of_the_memory_at_most(self):
+        for prefix, unit in (
+            (HEAD + b"\r\n", b"x"),
+            (CHUNKED, b"1000\r\n" + 4_096 * b"x" + b"\r\n"),
+        ):
+            memory = BodyMemory(2_000_000)
+            n_read, _, part = read_until_rejected(prefix, unit, READ_BYTES, memory)
+            self.assertEqual("body", part)
+            self.assertLess(n_read, 1_100_000)
+            self.assertLessEqual(memory.held, 1_000_000)
+
+    def test_usual_responses_are_read(self):
+        lines = b"".join(b"Name-%d: %s\r\n" % (n, b"v" * 1_000) for n in range(50))
+        informational = b"HTTP/1.1 102 Processing\r\n\r\n" * 20
+        data = informational + HEAD + lines + b"Content-Length: 2\r\n\r\nok"
+        (response,) = ResponseReader(NAMES).feed(data)
+        self.assertEqual((200, b"ok"), (response.status, response.body))
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -25,6 +26,21 @@
 _STANDARD_NAMES = HeaderNames()
 # Path of the health check of each server.
 HEALTH_PATH = "/health"
+# Responses without end, by the part that has none: what precedes it, after the line
+# with the identifier, and what it repeats.
+ENDLESS_RESPONSES = {
+    "headers": (b"", b"a: b\r\n"),
+    "header value": (b"A: ", b"x"),
+    "body": (b"\r\n", b"x"),
+    "small chunks": (b"Transfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+    "trailers": (b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"a: b\r\n"),
+    "informational responses": (b"\r\n", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "other responses": (
+        b"Content-Length: 0\r\n\r\n",
+        b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+    ),
+}
+_ENDLESS_BLOCK_BYTES = 65_536
 
 
 class CallFailed(Exception):
@@ -53,6 +69,8 @@
         Sends the response, and a second one that nobody requested.
     UNFRAMED
         Sends the response without a length and closes the connection.
+    ENDLESS
+        Sends a response of which a part has no end, until the connection is closed.
     CRASH
         Crashes, which closes all connections.
     CRASH_SILENTLY
@@ -67,6 +85,7 @@
     MUTE = "mute"
     LATE_EXTRA = "late extra"
     UNFRAMED = "unframed"
+    ENDLESS = "endless"
     CRASH = "crash"
     CRASH_SILENTLY = "crash silently"
 
@@ -93,6 +112,10 @@
         Whether the response has the identifier of the request.
     copies_id : bool, default=True
         Whether the late copies have the identifier that the response has.
+    copied_share : float, default=1.0
+        Share of the bytes of each late copy that is sent.
+    endless : str, default="headers"
+        Part without end in `ResponseMode.ENDLESS`; see `ENDLESS_RESPONSES`.
     """
 
     mode: ResponseMode = ResponseMode.ANSWER
@@ -103,6 +126,8 @@
     late_copies: int = 0
     echoes_id: bool = True
     copies_id: bool = True
+    copied_share: float = 1.0
+    endless: str = "headers"
 
 
 class BackendServer:
@@ -127,6 +152,8 @@
         Identifiers of requests whose connection was closed while they ran.
     connections : int
         Number of accepted connections.
+    n_endless : int
+        Number of responses without end in progress.
     behave : callable
         Returns the `Behaviour` for a request.
     health_headers : callable
@@ -158,6 +185,7 @@
         self.cancelled: list[str] = []
         self._late_copies: dict[Stream, bytes] = {}
         self.connections = 0
+        self.n_endless = 0
         self.behave: Callable[[Request], Behaviour] = lambda _: Behaviour()
         self.health_headers: Callable[[], tuple[bytes, ...]] = tuple
         self.n_health_checks = 0
@@ -286,11 +314,30 @@
                 head = b"HTTP/1.1 %d X\r\n%s\r\n\r\n" % (b.status, id_line)
                 await stream.send(head + b.body)
                 raise BrokenStream("the end of the connection ends the response")
+            case ResponseMode.ENDLESS:
+                self.n_endless += 1
+                try:
+                    await self._send_without_end(stream, request_id, b.endless)
+                finally:
+                    self.n_endless -= 1
             case ResponseMode.MUTE:
                 await trio.sleep_forever()
             case _:
                 raise BrokenStream("the connection is closed on purpose")
 
+    async def _send_without_end(
+        self, stream: Stream, request_id: str, name: str
+    ) -> None:
+        """Send a response without end until the connection is closed."""
+        prefix, unit = ENDLESS_RESPONSES[name]
+        status = 100 if name == "informational responses" else 200
+        own_id = "-" if name == "other responses" else request_id
+        id_line = self._names.request_id + b": " + own_id.encode()
+        await stream.send(b"HTTP/1.1 %d X\r\n%s\r\n%s" % (status, id_line, prefix))
+        block = unit * (_ENDLESS_BLOCK_BYTES // len(unit))
+        while True:
+            await stream.send(block)
+
     async def _respond(
         self, stream: Stream, request_id: str, b: Behaviour, not_run: bool = False
     ) -> None:
@@ -301,6 +348,7 @@
         )
         if b.late_copies:
             copy = response if b.copies_id else _without_id(response, self._names)
+            copy = copy[: math.ceil(b.copied_share * len(copy))]
             self._late_copies[stream] = copy * b.late_copies
         await stream.send(response)
 
