List a departure that is lost with all nodes that know it

Log: node-1 recorded the departure of its server with one open link, to node-2, as nodes 0 and 3 had restarted 0.6 s before and the store was silent; node-2 confirmed, so it was acknowledged; both were killed 0.2 s later. The heartbeat that was late made the server ready at the next process of node-1.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -186,6 +186,18 @@
 
         self.assertEqual(0, run_scenario(during).n_late_arrivals())
 
+    def test_departure_outlasts_all_nodes_that_know_it_while_the_store_is_silent(self):
+        async def during(scenario):
+            scenario.leave(GONE)
+            await trio.sleep(0.2)
+            scenario.deployment.state.members.clear()
+            scenario.restart(0, 1)
+            await trio.sleep(2.2)
+            scenario.deliver_late_heartbeat()
+
+        found = run_scenario(during, n_hosts=2, born=1_000)
+        self.assertEqual(0, found.n_late_arrivals())
+
     def test_one_late_heartbeat_does_not_keep_a_server_in_use(self):
         # Neither other nodes nor the store know of the departure.
         async def during(scenario):
