--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -298,7 +298,7 @@
                 if self._n_skipped > self._limits.n_skipped:
                     raise BadResponse("too many responses to no request", "skipped")
                 if not answer.keep_alive:
-                    raise BadResponse("closed after an answer to no known request")
+                    raise BadResponse("response to no request closes the connection")
                 continue
             self.response = answer
             is_last = index == len(answers) - 1 and not self._reader.in_message
