--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_client.py
@@ -1,5 +1,7 @@
 """Successive and concurrent calls of the HTTP client."""
 
+from functools import partial
+
 import trio
 from testtools import TestCase
 
@@ -10,6 +12,12 @@
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
 from fuchsiagap_node.core.mesh.http_request import RequestReader
 from fuchsiagap_node.core.mesh.stream import accept_all, listen
+from fuchsiagap_standins.mesh.backend_server import (
+    ENDLESS_RESPONSES,
+    BackendServer,
+    Behaviour,
+    ResponseMode,
+)
 from fuchsiagap_standins.mesh.deployment import free_address
 from fuchsiagap_standins.mesh.serving import serve_requests
 from fuchsiagap_standins.mesh.virtual import run_in_memory
@@ -105,3 +113,30 @@
 
         found = run_with_server(main, sends_late_copies=True, keeps_connection=False)
         self.assertEqual(([b"/5", b"/0", b"/3"], 3), found)
+
+
+class TestEndlessResponses(TestCase):
+    def test_call_fails_before_its_timeout_when_the_response_has_no_end(self):
+        async def main(name):
+            server = BackendServer(free_address(), "")
+            server.behave = lambda _: Behaviour(ResponseMode.ENDLESS, endless=name)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.run)
+                await trio.sleep(0.01)
+                client = HttpClient(server.address, HeaderNames())
+                started = trio.current_time()
+                try:
+                    await client.call("GET", "/", b"", 5_000.0)
+                except CallFailed as exc:
+                    cause = str(exc)
+                took_s = trio.current_time() - started
+                await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+            return cause, took_s, server.n_endless
+
+        # A client of the store takes the first response, whatever it names.
+        for name in ENDLESS_RESPONSES.keys() - {"other responses"}:
+            cause, took_s, n_open = run_in_memory(partial(main, name))
+            self.assertNotIn("no answer within", cause, name)
+            self.assertLess(took_s, 1.0, name)
+            self.assertEqual(0, n_open, name)
