--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_backend_conn.py
@@ -1,5 +1,7 @@
 """Additional bytes of a server ahead of the answer to a call."""
 
+from types import SimpleNamespace
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -9,7 +11,6 @@
 from fuchsiagap_node.core.mesh.outcome import Answered, NotRun
 from fuchsiagap_node.core.mesh.settings import Addresses, MeshSettings
 from fuchsiagap_node.core.mesh.stream import EndedStream
-from fuchsiagap_node.tests.core.mesh.test_planned_stop import ManualClock
 
 CFG = MeshSettings(
     "n-1", "hall-a", "certs", "10.0.0.1", "10.0.0.1:1", Addresses(*4 * ("",)), ""
@@ -43,7 +44,7 @@
 
 def outcomes_of(pieces):
     """Return the outcomes of a call for which a server sends pieces of data."""
-    conn = BackendConn(CFG, ManualClock())
+    conn = BackendConn(CFG, SimpleNamespace(now=lambda: 0.0))
     conn._stream = FakeStream()
     conn.send(a_call("new"), 500.0)
     outcomes = []
