--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/main.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/main.py
@@ -10,6 +10,7 @@
 import trio
 from absl import app, flags
 
+from fuchsiagap.core.build_info import build_info
 from fuchsiagap_ctl.admin_client import AdminClient, make_http
 from fuchsiagap_ctl.commands.command import Context
 from fuchsiagap_ctl.commands.table import COMMANDS
@@ -64,6 +65,9 @@
     transport: Callable[[], httpx.AsyncBaseTransport] | None = None,
 ) -> ExitCode:
     """Run one command line within a running trio loop; see `main`."""
+    if list(argv[1:]) == ["--version"]:
+        output.line(str(build_info()))
+        return ExitCode.DONE
     all_flags = define_flags()
     try:
         words = all_flags(list(argv))[1:]
@@ -113,6 +117,10 @@
         width = max(len(one.usage) for one in COMMANDS)
         for one in COMMANDS:
             output.line(f"  {one.usage:{width}}  {one.summary}")
+        output.line("")
+        output.line(
+            "`fuchsiagap --version` shows the version and a digest of the sources"
+        )
         names: Sequence[str] = _COMMON_FLAGS
     else:
         output.line(f"usage: {command.usage} [FLAGS]")
--- a/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/test_main.py
+++ b/packages/fuchsiagap-ctl/src/fuchsiagap_ctl/tests/test_main.py
@@ -7,6 +7,7 @@
 
 from testtools import TestCase
 
+from fuchsiagap.core.build_info import build_info
 from fuchsiagap_ctl.commands.table import COMMANDS
 from fuchsiagap_ctl.exit_codes import MEANINGS, ExitCode
 from fuchsiagap_ctl.invocation import UsageFault, parse_duration
@@ -36,6 +37,10 @@
             for flag in command.flags:
                 self.assertIn(f"--{flag} ", "\n".join(self.nodes.lines))
 
+    def test_version_names_the_digest_of_the_sources(self) -> None:
+        self.assertEqual(ExitCode.DONE, self.nodes.run("--version", nodes=()))
+        self.assertEqual([str(build_info())], self.nodes.lines)
+
     def test_usage_errors_say_what_to_do(self) -> None:
         for words in (
             ["frobnicate"],
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/metrics_text.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/metrics_text.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
 import trio
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
+    InfoMetricFamily,
     SummaryMetricFamily,
 )
 from prometheus_client.exposition import generate_latest
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
+from fuchsiagap.core.build_info import build_info
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.telemetry.metric_table import COUNTERS, GAUGES, MEASURES
 
@@ -33,6 +35,7 @@
 _SAMPLES_PER_YIELD = 64
 _COMMENT_PREFIX = b"# "
 _EVENTS_METRIC = "fuchsiagap_events"
+_BUILD_METRIC = "fuchsiagap_build"
 
 
 async def metrics_text(telemetry: Telemetry) -> bytes:
@@ -86,6 +89,9 @@
 
 def _collect_values(telemetry: Telemetry) -> Iterator[Metric]:
     metrics = telemetry.metrics
+    yield InfoMetricFamily(
+        _BUILD_METRIC, "Identity of the running code.", value=asdict(build_info())
+    )
     yield from _labelled_families(CounterMetricFamily, COUNTERS, metrics.counters())
     yield from _labelled_families(GaugeMetricFamily, GAUGES, metrics.gauges())
     yield _collect_events(telemetry)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/gauges.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.build_info import build_info
 from fuchsiagap.core.placement.choice import service_fullness
 from fuchsiagap.core.watching.watcher_rank import UpdateSource
 from fuchsiagap_node.core.mesh.event_log import Gauge
@@ -27,6 +28,13 @@
 _MAX_WORKSPACES = 10
 
 
+def build_gauges() -> Iterator[Gauge]:
+    """Yield the identity of the running code as labels of a constant."""
+    info = build_info()
+    labels = f'version="{info.version}",digest="{info.digest}",python="{info.python}"'
+    yield Gauge("build_info", labels, 1.0)
+
+
 def config_gauges(config: ConfigSync) -> Iterator[Gauge]:
     """Yield the configuration version, store position, their ages and update source."""
     yield Gauge("config_version", "", config.active.version)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -8,13 +8,14 @@
 import re
 import secrets
 import signal
-from dataclasses import fields, replace
+from dataclasses import asdict, fields, replace
 from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
 
 from fuchsiagap.core.backend_queue.incarnation import BackendReport, BackendState
+from fuchsiagap.core.build_info import build_info
 from fuchsiagap.core.clock import MS_PER_S, trio_clock
 from fuchsiagap.core.routes.table import RouteTable, WeightedRoundRobin
 from fuchsiagap_node.core.mesh import poller
@@ -33,6 +34,7 @@
 from fuchsiagap_node.core.mesh.gauges import (
     admission_gauges,
     backend_gauges,
+    build_gauges,
     config_gauges,
     coverage_gauges,
     departure_gauges,
@@ -460,7 +462,10 @@
         cfg = self.cfg
         names = cfg.names
         self.event_log.event(
-            "started", service=cfg.service, data_centre=cfg.data_centre
+            "started",
+            service=cfg.service,
+            data_centre=cfg.data_centre,
+            **asdict(build_info()),
         )
         watch = SuspensionWatch(self._clock.catch_up, self._handle_suspension)
         trio.lowlevel.add_instrument(watch)
@@ -554,6 +559,7 @@
             return FinalResponse(404)
         content_type = b"Content-Type: text/plain; version=0.0.4\r\n"
         gauges = itertools.chain(
+            build_gauges(),
             config_gauges(self._config),
             backend_gauges(self.backend_queue),
             departure_gauges(self._departures),
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/process.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/process.py
@@ -11,6 +11,7 @@
 from hypercorn.config import Config as HypercornConfig
 from hypercorn.trio import serve
 
+from fuchsiagap.core.build_info import build_info
 from fuchsiagap.core.clock import trio_clock
 from fuchsiagap.core.membership.member import first_incarnation
 from fuchsiagap_node.core.edges.admin import admin_app
@@ -81,6 +82,7 @@
         return sockets
     bound_sockets = (sockets.callers, sockets.peers, sockets.admin)
     cfg = cfg.with_addresses(*map(_format_address, bound_sockets))
+    _LOG.info("node %s runs %s", cfg.name, build_info())
     _LOG.info(
         "node %s listens on %s for callers, %s for peers, %s for operators",
         cfg.name,
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/main.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/main.py
@@ -13,6 +13,7 @@
 import trio
 from absl import app, flags
 
+from fuchsiagap.core.build_info import build_info
 from fuchsiagap_node.core.config import ConfigFaults, parse_node_config
 from fuchsiagap_node.core.logs import set_up_logs
 from fuchsiagap_node.core.process import run_process
@@ -31,6 +32,7 @@
     "set", [], "section.key=value that overrides the file; may be repeated"
 )
 _CHECK = flags.DEFINE_bool("check", False, "check the settings and exit")
+_VERSION = flags.DEFINE_bool("version", False, "print the version and exit")
 _LOG = logging.getLogger(__name__)
 
 
@@ -43,6 +45,9 @@
 
 
 def _main(argv: list[str]) -> int:
+    if _VERSION.value:
+        print(build_info())
+        return 0
     if len(argv) > 1 or _CONFIG.value is None:
         print("usage: fuchsiagap-node --config FILE [--set section.key=value]")
         return EXIT_BAD_SETTINGS
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_metrics_text.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_metrics_text.py
@@ -43,6 +43,7 @@
         self.assertLessEqual(set(Gauge), names)
         self.assertLessEqual({f"{m}_seconds_count" for m in MEASURES}, names)
         self.assertIn("fuchsiagap_events_total", names)
+        self.assertIn("fuchsiagap_build_info", names)
 
     def test_times_are_in_seconds(self) -> None:
         self.telemetry.metrics.observe(Measure.LATENCY, "r", "answered", 2_000.0)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_gauges.py
@@ -5,6 +5,7 @@
 import trio
 from testtools import TestCase
 
+from fuchsiagap.core.build_info import build_info
 from fuchsiagap_node.core.mesh.http_client import HttpClient
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
 from fuchsiagap_standins.mesh.backend_server import Behaviour
@@ -22,6 +23,23 @@
 
 
 class TestGauges(TestCase):
+    def test_running_code_is_named_on_the_metrics_page_and_in_the_log(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                host = deployment.add("certs")
+                await deployment.settle()
+                lines = [json.loads(line) for line in host.node.event_log.lines()]
+                return await metrics_of(host), lines
+
+        metrics, lines = run_in_memory(main)
+        info = build_info()
+        labels = f'version="{info.version}",digest="{info.digest}"'
+        labels += f',python="{info.python}"'
+        self.assertEqual(1.0, metrics[f"fuchsiagap_build_info{{{labels}}}"])
+        started = next(line for line in lines if line["event"] == "started")
+        self.assertEqual(info.digest, started["digest"])
+        self.assertEqual(info.version, started["version"])
+
     def test_age_of_an_unanswered_store_request_grows(self):
         async def main():
             async with a_deployment(a_route("read")) as deployment:
