--- a/Makefile
+++ b/Makefile
@@ -4,25 +4,29 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 
-.PHONY: setup demo test check-model lint format clean
+.PHONY: setup build demo test check-model lint format clean
 setup: $(STAMP)
 
 # Two targets may set up at once; the lock lets one of them do it.
 $(STAMP): constraints.txt requirements-dev.txt $(PACKAGES)
 	@flock .setup.lock tools/setup.sh $(VENV) $(STAMP)
 
+# The node as the platform runs it, under target/deps.
+build:
+	@deploy/build.sh
+
 demo: $(STAMP)
 	@$(PY) -m fuchsiagap_standins.demo
 
-test: $(STAMP)
+test: $(STAMP) build
 	@$(PY) tools/run_tests.py
 
 check-model: $(STAMP)
 	@$(PY) -m fuchsiagap_standins.model --bound large
 
 lint: $(STAMP)
-	@$(PY) -m ruff format --check packages platform tools conftest.py
-	@$(PY) -m ruff check packages platform tools conftest.py
+	@$(PY) -m ruff format --check packages platform deploy tools conftest.py
+	@$(PY) -m ruff check packages platform deploy tools conftest.py
 	@$(PY) -m flake8 packages platform
 	@$(PY) -m mypy
 	@$(VENV)/bin/lint-imports
@@ -30,8 +34,8 @@
 	@$(PY) tools/check_findings.py
 
 format: $(STAMP)
-	@$(PY) -m ruff format packages platform tools conftest.py
-	@$(PY) -m ruff check --fix packages platform tools conftest.py
+	@$(PY) -m ruff format packages platform deploy tools conftest.py
+	@$(PY) -m ruff check --fix packages platform deploy tools conftest.py
 
 clean:
 	rm -rf $(VENV) .setup.lock
