Build byte code that stays valid in a copy of the build

Byte code was checked by time, so each process compiled all modules again until one had written the result.

The build compiles with unchecked hashes: it is made and replaced as a whole, so its byte code is that of its sources.

test_byte_code_stays_valid_in_a_copy_with_other_modification_times fails on the code before ('compiled' != 'old'), and so does test_build_of_another_build_script_is_replaced.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -14,6 +14,7 @@
 import importlib.util
 import json
 import os
+import py_compile
 import re
 import shutil
 import subprocess
@@ -80,6 +81,15 @@
     )
 
 
+def _inputs(sources: str) -> dict[str, str]:
+    """Return the digests of all that a build is made from, as its record holds them."""
+    return {
+        "sources": sources,
+        "libraries": _digest_libraries(),
+        "builder": hashlib.sha256(Path(__file__).read_bytes()).hexdigest(),
+    }
+
+
 def _digest_files(folder: Path) -> str:
     """Return a digest of the paths and sizes of all files of a build."""
     digest = hashlib.sha256()
@@ -114,10 +124,7 @@
     sources : str
         Digest of the sources.
     """
-    record = _read_record(DEPS)
-    if record.get("sources") != sources or record.get("libraries") != (
-        _digest_libraries()
-    ):
+    if not _read_record(DEPS).items() >= _inputs(sources).items():
         return False
     installed = {name: DEPS / name for name in PACKAGES}
     return _load_build_info().digest_sources(installed) == sources and _is_intact(DEPS)
@@ -206,12 +213,15 @@
             return
         _install_libraries()
         _install_packages(sources, info.RECORD_MODULE)
-        compileall.compile_dir(_STAGING, quiet=2)
-        record = {
-            "sources": sources,
-            "libraries": _digest_libraries(),
-            "files": _digest_files(_STAGING),
-        }
+        # Byte code that is valid by itself: a copy of the build has other modification
+        # times, and each process would compile all modules again.
+        compileall.compile_dir(
+            _STAGING,
+            quiet=2,
+            force=True,
+            invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+        )
+        record = {**_inputs(sources), "files": _digest_files(_STAGING)}
         (_STAGING / _RECORD).write_text(json.dumps(record), encoding="utf-8")
         _replace_build()
 
