Admit requests with small bodies while uploads use the memory for bodies

Cause: the bound refused any new request above a share in use, whatever it needed, since its response might be large. And a body counted against its own request once it was read: 64 MiB of rank 2 were refused on an idle host with 300 MB.

Requests whose body and usual response are under 64 KiB now have a reserve of 4 MB beyond the bound, used less by worse ranks; routes whose responses are usually large keep to the bound and are refused before they run; a request's own body does not count against it.

Four new tests fail on the code before (4 failed, 9 passed). The limits of the existing test of ranks are a thousand times larger, as its bodies were small ones; it asks the same.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -9,6 +9,7 @@
     DEFAULT_RETRY_AFTER_MS,
     FinalResponse,
 )
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.metered_request import MeteredRequest
 from fuchsiagap_node.core.mesh.outcome import LEAVING, NO_MEMORY
 from fuchsiagap_node.core.mesh.over_quota import quota_refusal
@@ -277,8 +278,9 @@
         """
         if not self.planned_stop.may_begin(Work.CALLER_REQUEST):
             return FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS)
-        if not self.memory.admits(0, route.priority):
-            # Its response may be large.
+        # A response that is usually large has to find memory as well.
+        n_expected = min(self._context.sizes.expected(route.name), LARGE_BODY_BYTES)
+        if not self.memory.admits(round(n_expected), route.priority, req.n_held):
             return self.refuse_without_memory(req)
         kind_share = self._admission.admitted_share(service, route)
         share = min(kind_share, covered)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
@@ -9,8 +9,9 @@
 from fuchsiagap.core.backend_queue.server_load import NO_SPEED
 from fuchsiagap.core.quarantine.quarantine import Crash, HeldRequest
 from fuchsiagap.core.retries.rank_coverage import N_SAMPLING_KEYS
-from fuchsiagap_node.core.mesh.body_memory import BodyMemory
+from fuchsiagap_node.core.mesh.body_memory import BodyMemory, BodySizes
 from fuchsiagap_node.core.mesh.frames import BadFrame, DroppedCall
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.link import FramedLink
 from fuchsiagap_node.core.mesh.messages import (
     NO_CALLS,
@@ -32,7 +33,7 @@
     TokenGrant,
     TokenRequest,
 )
-from fuchsiagap_node.core.mesh.outcome import NO_MEMORY, NotRun
+from fuchsiagap_node.core.mesh.outcome import NO_MEMORY, Answered, NotRun
 from fuchsiagap_node.core.mesh.pending_call import PendingCall
 from fuchsiagap_node.core.mesh.server_speed import differs_in_speed, is_slow
 from fuchsiagap_node.core.mesh.stream import BrokenStream
@@ -143,6 +144,9 @@
         Returns the tokens that this node grants from a quota that it owns.
     body_memory : BodyMemory
         Memory for bodies.
+    sizes : BodySizes
+        Sizes of the requests that the local backend server has answered and of their
+        responses, by route.
     """
 
     def __init__(
@@ -176,6 +180,7 @@
         )
         self.grant_tokens: Callable[[TokenRequest], TokenGrant] = _no_tokens
         self.body_memory = BodyMemory()
+        self.sizes = BodySizes()
 
     def posts(self) -> Iterator[tuple[str, Post]]:
         """Yield the name and the send function of each node with an open link."""
@@ -266,7 +271,8 @@
     def _handle_call(self, link: FramedLink, sender: _Sender, call: Call) -> None:
         pending_calls, call_id = sender.pending_calls, call.call_id
         memory, n_held = self.body_memory, len(call.body)
-        if not memory.admits(n_held, call.rank):
+        n_expected = min(self.sizes.expected(call.route), LARGE_BODY_BYTES)
+        if not memory.admits(max(n_held, round(n_expected)), call.rank):
             self._refuse(link, call_id)
             return
         memory.hold(n_held)
@@ -277,6 +283,8 @@
             pending = pending_calls.pop(call_id, None)
             if pending is not None:
                 call = pending.call
+                if isinstance(outcome, Answered):
+                    self.sizes.record(call.route, n_held + len(outcome.body))
                 queue = self._backend_queue
                 downstream = pending.summarize_nested_calls(
                     self.downstream_fullness(call.route),
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -402,7 +402,10 @@
         self.entry.table = table = RouteTable(stored.config)
         self._contention_scope.has_workspaces = table.keys is not None
         self._rotation.adopt(stored.config)
-        self._planned_stop.route_times.retain({r.name for r in stored.config.routes})
+        names = {route.name for route in stored.config.routes}
+        self._planned_stop.route_times.retain(names)
+        self._placement_context.sizes.retain(names)
+        self._inbound.sizes.retain(names)
         self._callers.limits = stored.config.limits
         self._workspaces.adopt(stored.config)
         service = stored.config.services.get(self.cfg.service)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -311,7 +311,7 @@
                 self._context.route_loads.record_reply(self._service, route, below)
                 sent = len(call.head) + len(call.body)
                 received = len(outcome.headers) + len(outcome.body)
-                self._context.record_bytes(route, sent + received)
+                self._context.sizes.record(route, sent + received)
                 self._context.reports.record_answer(self._fingerprint)
             elif isinstance(outcome, MayHaveRun) and outcome.reason == LINK_LOST:
                 node = peer.target.node
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
@@ -9,6 +9,7 @@
 from fuchsiagap.core.placement.limit_probes import LimitProbes
 from fuchsiagap.core.retries.tree_coverage import ALL_ADMITTED, CoveredAdmission
 from fuchsiagap.core.shedding.served import ServedShares
+from fuchsiagap_node.core.mesh.body_memory import BodySizes
 
 if TYPE_CHECKING:
     import random
@@ -25,10 +26,6 @@
     from fuchsiagap_node.core.mesh.route_loads import RouteLoads
     from fuchsiagap_node.core.mesh.settings import MeshSettings
 
-# Weight of one request in the moving average of the sizes of a route, which spans about
-# the last 20 requests.
-_BYTES_WEIGHT = 0.05
-
 
 class InProgress(Protocol):
     """A request without a final response, which is woken when a timer is due."""
@@ -67,6 +64,8 @@
     ----------
     in_progress : dict of InProgress to None
         Requests without a final response.
+    sizes : BodySizes
+        Sizes of the requests of this node's callers and of their responses, by route.
     served : ServedShares
         Shares of the requests of this node's callers that succeeded, by route.
     probe_rates : callable
@@ -93,7 +92,7 @@
     ) -> None:
         self.planned_stop = planned_stop
         self._rng = rng
-        self._bytes: dict[str, float] = {}
+        self.sizes = BodySizes()
         self._ids = count(1)
         self.peers = peers
         self.route_loads = route_loads
@@ -149,7 +148,7 @@
         targets = self.peers.targets(service)
         if only is not None:
             targets = [target for target in targets if target.instance in only]
-        penalty = remote_penalty(self._bytes.get(route, 0.0))
+        penalty = remote_penalty(self.sizes.expected(route))
         target = None if tried or only is not None else self._choose_probe(targets)
         if target is None:
             target = choose(targets, tried, self._rng, penalty)
@@ -167,11 +166,6 @@
         now = self.clock.now()
         return self._limit_probes.choose(targets, rates, self.n_senders(), now)
 
-    def record_bytes(self, route: str, n_bytes: int) -> None:
-        """Update the average size of a route's requests and answers."""
-        known = self._bytes.get(route, float(n_bytes))
-        self._bytes[route] = known + (n_bytes - known) * _BYTES_WEIGHT
-
     def next_id(self) -> int:
         """Return a call number that is unique in this process."""
         return next(self._ids)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_body_limit.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_body_limit.py
@@ -5,6 +5,7 @@
 
 from fuchsiagap.core.routes.model import CallerLimits
 from fuchsiagap_node.core.mesh.body_memory import BodyMemory, body_limit
+from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.stream import BrokenStream, dial
 from fuchsiagap_standins.mesh.backend_server import Behaviour
 from fuchsiagap_standins.mesh.deployment import (
@@ -58,21 +59,80 @@
 
 class TestBodyMemory(TestCase):
     def test_worse_ranks_are_refused_first(self):
-        memory = BodyMemory(1_000.0)
-        memory.hold(500)
-        self.assertTrue(memory.admits(100, 0))
-        self.assertFalse(memory.admits(100, 9))
-        self.assertFalse(memory.admits(501, 0))
-        memory.hold(300)
+        memory = BodyMemory(1_000_000.0)
+        memory.hold(500_000)
+        self.assertTrue(memory.admits(100_000, 0))
+        self.assertFalse(memory.admits(100_000, 9))
+        self.assertFalse(memory.admits(500_001, 0))
+        memory.hold(300_000)
+        self.assertFalse(memory.admits(LARGE_BODY_BYTES, 0))
+        memory.release(800_000)
+        self.assertTrue(memory.admits(1_000_000, 9))
+
+    def test_small_bodies_have_a_reserve_that_worse_ranks_use_less_of(self):
+        memory = BodyMemory(1_000_000.0)
+        memory.hold(1_000_000)
+        self.assertTrue(memory.admits(0, 9))
+        memory.hold(2_000_000)
+        self.assertFalse(memory.admits(0, 9))
+        self.assertTrue(memory.admits(0, 0))
+        memory.hold(1_500_000)
         self.assertFalse(memory.admits(0, 0))
-        memory.release(800)
-        self.assertTrue(memory.admits(1_000, 9))
+
+    def test_request_is_not_refused_for_the_memory_of_its_own_body(self):
+        memory = BodyMemory(body_limit(200e6))
+        n_bytes = CallerLimits().body_bytes
+        for rank in range(10):
+            self.assertTrue(memory.admits(n_bytes, rank))
+            memory.hold(n_bytes)
+            self.assertTrue(memory.admits(0, rank, n_bytes))
+            memory.release(n_bytes)
+
+    def test_large_body_in_small_chunks_has_no_use_of_the_reserve(self):
+        memory = BodyMemory(1_000_000.0)
+        memory.hold(1_000_000)
+        self.assertTrue(memory.admits(1_000, 0, 10_000))
+        self.assertFalse(memory.admits(1_000, 0, LARGE_BODY_BYTES))
 
     def test_limit_holds_the_largest_body_on_a_host_with_200_mb(self):
         self.assertGreaterEqual(body_limit(200e6), CallerLimits().body_bytes)
 
 
 class TestRequests(TestCase):
+    def test_requests_without_body_are_served_while_uploads_use_all_memory(self):
+        for limit_at in ("bookings", "certs"):
+
+            async def main(limit_at=limit_at):
+                async with a_deployment(WRITE, LOW) as deployment:
+                    hosts = await two_hosts(deployment, lambda _: Behaviour(), limit_at)
+                    for host in hosts:
+                        if host.node.body_memory.limit == LIMIT_BYTES:
+                            host.node.body_memory.hold(LIMIT_BYTES)
+                    lookup = await hosts[0].send("/low/1", "lookup")
+                    upload = await hosts[0].send(
+                        "/write/1", "upload", 2_000.0, "POST", BODY
+                    )
+                    return lookup.status, upload.status
+
+            self.assertEqual((200, 503), run_in_memory(main), limit_at)
+
+    def test_request_whose_response_is_usually_large_is_refused_before_it_runs(self):
+        for limit_at in ("bookings", "certs"):
+
+            async def main(limit_at=limit_at):
+                async with a_deployment(WRITE) as deployment:
+                    hosts = await two_hosts(
+                        deployment, lambda _: Behaviour(body=BODY), limit_at
+                    )
+                    await hosts[0].send("/write/1", "r1", 2_000.0, "POST")
+                    for host in hosts:
+                        if host.node.body_memory.limit == LIMIT_BYTES:
+                            host.node.body_memory.hold(LIMIT_BYTES)
+                    answer = await hosts[0].send("/write/2", "r2", 2_000.0, "POST")
+                    return answer.status, dict(hosts[1].server.runs)
+
+            self.assertEqual((503, {"r1": 1}), run_in_memory(main), limit_at)
+
     def test_uploads_that_do_not_fit_are_refused_and_do_not_run(self):
         for limit_at in ("bookings", "certs"):
 
