Refuse requests that cannot finish before the exit before they run

Cause: the time of a route was recorded by the node at which its requests enter only. The node beside the server, which stops, knew none, let them all in for 2 s and then refused a call that they made.

The queue of the local server records the time of each answered call, nested calls included; a call that takes longer than the stop lasts, by that or by the age of a running one of its route, is refused as not run, also after it has waited for a slot. Another server gets it, or the caller 503 with Retry-After.

Both new tests and the extended table of last moments fail on the code before: ([503, 503, 503, 503], 0) != ([503, 500, 500, 500], 3) ([200, 200, 200, 200], 0) != ([200, 504, 504, 504], 3) 1500 != 1900

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -492,9 +492,7 @@
         if not instance or instance != call.instance:
             pending.reply(NotRun(self._unusable_reason()))
             return
-        if not self.planned_stop.may_begin(
-            Work.BACKEND_CALL, call.route, call.time_left
-        ):
+        if not self._can_finish_before_exit(pending):
             pending.reply(NotRun(LEAVING))
             return
         if not self.retry_budget.admits(call, self.failing(), self._covers_trees):
@@ -521,6 +519,19 @@
             pending, call.rank, pending.deadline, pending.due, now, call.is_nested
         )
 
+    def _can_finish_before_exit(self, pending: PendingCall) -> bool:
+        """Whether a call may begin if the process stops; always otherwise."""
+        if not self.planned_stop.has_begun:
+            return True
+        now, route = self._clock.now(), pending.call.route
+        running = (p.started for p in self._at_server if p.call.route == route)
+        return self.planned_stop.may_begin(
+            Work.BACKEND_CALL,
+            route,
+            pending.deadline - now,
+            now - min(running, default=now),
+        )
+
     def _make_room(self, rank: int) -> bool:
         worst = self._queue.evict_for(rank)
         if worst is None:
@@ -629,7 +640,8 @@
             if waiting is None:
                 return
             pending = _leave_queue(waiting)
-            if self.instance() == pending.call.instance:
+            is_usable = self.instance() == pending.call.instance
+            if is_usable and self._can_finish_before_exit(pending):
                 self._start(pending)
             else:
                 pending.reply(NotRun(LEAVING))
@@ -718,6 +730,8 @@
                 self._health.record_answer(now)
                 self.reports.record_answer(pending.call.fingerprint)
                 if status < 500:
+                    took = now - pending.started
+                    self.planned_stop.server_times.record(pending.call.route, took)
                     self.retry_budget.record_answered(pending.call.route, pending.calls)
                 failed = status >= 500 and not pending.failed_in_nested_call()
             case NotRun(_, offered):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -404,6 +404,7 @@
         self._rotation.adopt(stored.config)
         names = {route.name for route in stored.config.routes}
         self._planned_stop.route_times.retain(names)
+        self._planned_stop.server_times.retain(names)
         self._placement_context.sizes.retain(names)
         self._inbound.sizes.retain(names)
         self._callers.limits = stored.config.limits
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/planned_stop.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/planned_stop.py
@@ -80,6 +80,8 @@
     ----------
     route_times : RouteTimes
         Times of requests that this node has placed.
+    server_times : RouteTimes
+        Times of calls at the local backend server, their nested calls included.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -87,6 +89,7 @@
         self._began_at: Milliseconds | None = None
         self._time_to_stop: Milliseconds = 0.0
         self.route_times = RouteTimes()
+        self.server_times = RouteTimes()
 
     def begin(self, time_to_stop: Milliseconds) -> None:
         """Begin the stop; the process is killed after `time_to_stop` ms."""
@@ -99,6 +102,11 @@
         began_at = self._began_at
         return float("-inf") if began_at is None else self._clock.now() - began_at
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the process stops."""
+        return self._began_at is not None
+
     @property
     def is_over(self) -> bool:
         """Whether the process has to exit now."""
@@ -109,6 +117,7 @@
         work: Work,
         route: str = "",
         time_left: Milliseconds = float("inf"),
+        longest_running: Milliseconds = 0.0,
     ) -> bool:
         """Whether work may begin now.
 
@@ -120,6 +129,9 @@
             Route of the request or call.
         time_left : float, default=inf
             Milliseconds until its deadline.
+        longest_running : float, default=0
+            Milliseconds for which the oldest unfinished work of this kind and route has
+            been running.
         """
         elapsed = self.elapsed
         if elapsed < 0.0:
@@ -128,7 +140,12 @@
             return elapsed < min(_REFUSE_AFTER_MS, self._time_to_stop / 2.0)
         if work is Work.BACKEND_CALL and not self.accepts_backend_calls:
             return False
-        return self._can_finish(elapsed, route, time_left)
+        is_at_server = work is Work.BACKEND_CALL
+        times = self.server_times if is_at_server else self.route_times
+        expected = times.expected(route)
+        if longest_running > 0.0:
+            expected = max(expected or 0.0, longest_running * _RESERVE_FACTOR)
+        return self._can_finish(elapsed, expected, time_left)
 
     @property
     def accepts_backend_calls(self) -> bool:
@@ -137,13 +154,15 @@
         return self._began_at is None or self.elapsed < limit
 
     def _can_finish(
-        self, elapsed: Milliseconds, route: str, time_left: Milliseconds
+        self,
+        elapsed: Milliseconds,
+        expected: Milliseconds | None,
+        time_left: Milliseconds,
     ) -> bool:
         """Whether a request ends before the exit, by its deadline or its usual time."""
         left = self._time_to_stop - _STOP_MARGIN_MS - elapsed
         if time_left <= left:
             return True
-        expected = self.route_times.expected(route)
         if expected is None:
             return elapsed < min(_REFUSE_AFTER_MS, self._time_to_stop / 2.0)
         return expected <= left
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_planned_stop.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_planned_stop.py
@@ -32,6 +32,8 @@
         clock = ManualClock()
         stop = PlannedStop(clock)
         stop.route_times.record("child", 800.0)
+        stop.server_times.record("child", 800.0)
+        stop.server_times.record("slow", 3_000.0)
 
         def last_moment(work, route="", time_left=float("inf")):
             moments = []
@@ -46,6 +48,8 @@
         stop.begin(6_000.0)
         self.assertEqual(2_900, last_moment(Work.CALLER_REQUEST))
         self.assertEqual(1_900, last_moment(Work.BACKEND_CALL, "child"))
+        self.assertEqual(1_500, last_moment(Work.BACKEND_CALL, "slow"))
+        self.assertEqual(1_900, last_moment(Work.BACKEND_CALL, "unknown"))
         for work in (Work.NESTED_CALL, Work.RETRY):
             self.assertEqual(4_300, last_moment(work, "child"))
             self.assertEqual(2_900, last_moment(work, "unknown"))
@@ -64,6 +68,54 @@
         self.assertIsNone(times.expected("read"))
 
 
+class TestRequestsThatMakeCalls(TestCase):
+    def run_stop(self, servers):
+        """Return the statuses of four late requests, and the runs of the stopping one.
+
+        A request of the route has taken 4.8 s before the stop.
+        """
+
+        async def main():
+            async with a_deployment(PARENT, CHILD) as deployment:
+                caller = deployment.add("bookings")
+                stopping = deployment.add("certs", slots=16)
+                served = deployment.add("results", slots=64)
+                served.server.behave = lambda _: Behaviour(work=CALL_MS)
+                hosts = [
+                    stopping,
+                    *(deployment.add("certs") for _ in range(servers - 1)),
+                ]
+                for host in hosts:
+                    host.server.on_run = partial(call_in_turn, host, [])
+                await deployment.settle()
+                statuses = []
+
+                async def send(after, request_id):
+                    await trio.sleep(after)
+                    answer = await caller.send("/parent/1", request_id, 5_000.0)
+                    statuses.append(None if answer is None else answer.status)
+
+                while not stopping.server.runs:
+                    await send(0.0, "first")
+                statuses.clear()
+                await trio.sleep(5.0)
+                n_runs = sum(stopping.server.runs.values())
+                async with trio.open_nursery() as nursery:
+                    for number, after in enumerate((0.9, 1.1, 1.3, 1.5)):
+                        nursery.start_soon(send, after, f"r{number}")
+                    await stopping.node.stop()
+                    stopping.kill()
+                return statuses, sum(stopping.server.runs.values()) - n_runs
+
+        return run_in_memory(main)
+
+    def test_request_that_cannot_finish_before_the_exit_is_refused_before_it_runs(self):
+        self.assertEqual(([503] * 4, 0), self.run_stop(servers=1))
+
+    def test_request_that_cannot_finish_before_the_exit_runs_at_another_server(self):
+        self.assertEqual(([200] * 4, 0), self.run_stop(servers=2))
+
+
 class TestNestedCalls(TestCase):
     def test_no_nested_call_is_broken_off_by_the_exit_of_a_stopping_node(self):
         async def main():
