Name the address that another process holds when a node cannot listen

A node whose address another process still held, as one left over from an earlier run, ended with a traceback of nested exception groups and exit code 1.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -384,12 +384,20 @@
     raise SilentStream(f"{address}: no connection within {wait:.0f} ms")
 
 
+class CannotListen(OSError):
+    """An address is in use or does not belong to this host; the message names it."""
+
+
 def listen(address: str) -> socket.socket:
-    """Return a listening socket at ``IP:PORT``."""
+    """Return a listening socket at ``IP:PORT``; raises `CannotListen`."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(split_address(address))
-    sock.listen(_BACKLOG)
+    try:
+        sock.bind(split_address(address))
+        sock.listen(_BACKLOG)
+    except OSError as exc:
+        sock.close()
+        raise CannotListen(f"cannot listen on {address}: {exc.strerror}") from exc
     sock.setblocking(False)
     return sock
 
