Keep small bodies of worse ranks from using the memory of important uploads

Bytes of small bodies are counted now; beyond the rule for all ranks they may use 4 MB, worse ranks less of it. A body that grows in parts is counted by its whole size.

test_small_bodies_of_worse_ranks_leave_memory_to_important_uploads fails on the code before: False is not true.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/body_memory.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/body_memory.py
@@ -21,8 +21,8 @@
 _BEST_RANK_SHARE = 0.75
 _SHARE_PER_RANK = 0.1
 _MIN_SHARE = 0.25
-# Bytes beyond the bound that only requests with small bodies may use, so that large
-# ones do not keep them out.
+# Bytes that small bodies may use whatever else is in use, beyond the bound if need be,
+# so that large ones do not keep them out.
 _SMALL_RESERVE_BYTES = 4_000_000
 # Weight of the latest size in the average size of a route.
 _SIZE_WEIGHT = 0.05
@@ -42,6 +42,8 @@
         Maximum number of bytes; requests with small bodies have a reserve beyond it.
     held : int
         Bytes of the bodies that are held now.
+    held_small : int
+        Those of them that belong to small bodies.
     n_refused : int
         Number of bodies that did not fit.
     """
@@ -49,6 +51,7 @@
     def __init__(self, limit: float = math.inf) -> None:
         self.limit = limit
         self.held = 0
+        self.held_small = 0
         self.n_refused = 0
 
     def admits(self, n_bytes: int, rank: int, n_held: int = 0) -> bool:
@@ -67,13 +70,13 @@
             Bytes of the same request that are held already.
         """
         share = max(_BEST_RANK_SHARE - _SHARE_PER_RANK * rank, _MIN_SHARE)
+        is_admitted = (
+            self.held - n_held <= self.limit * share
+            and self.held + n_bytes <= self.limit
+        )
         if n_held + n_bytes < LARGE_BODY_BYTES:
-            is_admitted = self.held <= self.limit + _SMALL_RESERVE_BYTES * share
-        else:
-            is_admitted = (
-                self.held - n_held <= self.limit * share
-                and self.held + n_bytes <= self.limit
-            )
+            others = self.held_small - n_held
+            is_admitted = is_admitted or others <= _SMALL_RESERVE_BYTES * share
         self.n_refused += not is_admitted
         return is_admitted
 
@@ -87,10 +90,19 @@
     def hold(self, n_bytes: int) -> None:
         """Count the bytes of a body that is held from now on."""
         self.held += n_bytes
+        if n_bytes < LARGE_BODY_BYTES:
+            self.held_small += n_bytes
+
+    def grow(self, n_held: int, n_bytes: int) -> None:
+        """Count `n_bytes` more of a body of which `n_held` bytes are held."""
+        self.release(n_held)
+        self.hold(n_held + n_bytes)
 
     def release(self, n_bytes: int) -> None:
-        """Count the bytes of a body that is no longer held."""
+        """Count the bytes of a body that is no longer held, all of them at once."""
         self.held -= n_bytes
+        if n_bytes < LARGE_BODY_BYTES:
+            self.held_small -= n_bytes
 
 
 class BodySizes:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
@@ -256,7 +256,7 @@
     def _hold(self, n_bytes: int) -> None:
         """Reserve memory for a body or a part of it, or refuse the request."""
         if self._memory.admits(n_bytes, self._rank, self._n_held):
-            self._memory.hold(n_bytes)
+            self._memory.grow(self._n_held, n_bytes)
             self._n_held += n_bytes
             return
         self._is_refused = True
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -350,7 +350,7 @@
             return
         if not self._memory.fits(n_bytes - self._n_held):
             self._fail("no memory for the body of the response", "body")
-        self._memory.hold(n_bytes - self._n_held)
+        self._memory.grow(self._n_held, n_bytes - self._n_held)
         self._n_held = n_bytes
 
     def on_message_complete(self) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_body_limit.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_body_limit.py
@@ -73,12 +73,28 @@
         memory = BodyMemory(1_000_000.0)
         memory.hold(1_000_000)
         self.assertTrue(memory.admits(0, 9))
-        memory.hold(2_000_000)
+        for _ in range(40):
+            memory.hold(50_000)
         self.assertFalse(memory.admits(0, 9))
         self.assertTrue(memory.admits(0, 0))
-        memory.hold(1_500_000)
+        for _ in range(30):
+            memory.hold(50_000)
         self.assertFalse(memory.admits(0, 0))
 
+    def test_small_bodies_of_worse_ranks_leave_memory_to_important_uploads(self):
+        memory = BodyMemory(10_000_000.0)
+        while memory.admits(50_000, 9):
+            memory.hold(50_000)
+        self.assertTrue(memory.admits(1_000_000, 0))
+
+    def test_body_that_grows_large_no_longer_counts_as_small(self):
+        memory = BodyMemory(1_000_000.0)
+        for n_held in range(0, 100_000, 10_000):
+            memory.grow(n_held, 10_000)
+        self.assertEqual((100_000, 0), (memory.held, memory.held_small))
+        memory.release(100_000)
+        self.assertEqual((0, 0), (memory.held, memory.held_small))
+
     def test_request_is_not_refused_for_the_memory_of_its_own_body(self):
         memory = BodyMemory(body_limit(200e6))
         n_bytes = CallerLimits().body_bytes
@@ -143,14 +159,17 @@
                     )
                     statuses, peak = await send_at_once(caller, 20)
                     low = await caller.send("/low/1", "low")
-                    held = served.node.body_memory.held, caller.node.body_memory.held
+                    held = [
+                        (host.node.body_memory.held, host.node.body_memory.held_small)
+                        for host in (served, caller)
+                    ]
                     return statuses, peak, sum(served.server.runs.values()), low, held
 
             statuses, peak, runs, low, held = run_in_memory(main)
             self.assertEqual({200, 503}, set(statuses), limit_at)
             self.assertEqual(runs, 1 + statuses.count(200))
             self.assertEqual(200, low.status)
-            self.assertEqual((0, 0), held)
+            self.assertEqual([(0, 0)] * 2, held)
             if limit_at == "bookings":
                 self.assertLessEqual(peak, LIMIT_BYTES)
 
