Log the restart of a slow server that states no speed yet

A server that had stated that it is slow started again; its new incarnation has stated no figure, whose age is infinite.

The age is null in that line. The new test fails on the code before with the same error.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_speed.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/server_speed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from fuchsiagap.core.backend_queue.server_load import (
@@ -121,7 +122,7 @@
                 instance=self._instance,
                 speed=speed,
                 slow=slow,
-                age=round(self.age),
+                age=round(self.age) if math.isfinite(self.age) else None,
                 usual=self._present.usual,
             )
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_present_speed.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_present_speed.py
@@ -1,6 +1,7 @@
 """Backend servers that state how long work takes on their host at present."""
 
 import itertools
+import json
 import random
 
 import trio
@@ -191,6 +192,16 @@
         self.respond(b"1,0", "i-2")
         self.assertEqual(4, self.log.counts["events", "load-unreadable"])
 
+    def test_restart_of_a_slow_server_is_logged_without_the_age_of_a_figure(self):
+        self.respond(b"1,0,8,100")
+        self.respond(b"1,0,8,250")
+        self.now = 2_000.0
+        self.server_speed.begin("i-2")
+        self.server_speed.check()
+        lines = [json.loads(line) for line in self.log.lines()]
+        self.assertEqual([True, False], [line["slow"] for line in lines])
+        self.assertIsNone(lines[-1]["age"])
+
     def test_figure_of_an_earlier_incarnation_is_not_used(self):
         self.respond(b"1,0,8,250")
         self.server_speed.begin("i-2")
