--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,14 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-PACKAGES := $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 
-.PHONY: setup build demo test check-model lint format clean
+.PHONY: always setup build demo test check-model lint format clean
 setup: $(STAMP)
 
-# Two targets may set up at once; the lock lets one of them do it.
-$(STAMP): constraints.txt requirements-dev.txt $(PACKAGES)
+# Decided by contents, not by times, in the script. Two targets may set up at once; the
+# lock lets one of them do it.
+always:
+$(STAMP): always
 	@flock .setup.lock tools/setup.sh $(VENV) $(STAMP)
 
 # The node as the platform runs it, under target/deps.
