--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -90,6 +90,8 @@
         self._changed = asyncio.Event()
         self.revision = 1
         self.calls = 0
+        # While it is down, all calls get 503: nothing is done.
+        self.is_down = False
 
     def put(self, kind: str, name: str, spec: object) -> dict:
         old = self._objects.get((kind, name))
@@ -102,6 +104,11 @@
         self._publish(kind, item, removed=False)
         return item
 
+    def set_down(self, is_down: bool) -> None:
+        self.is_down = is_down
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _publish(self, kind: str, item: dict, removed: bool) -> None:
         self._events.append((self.revision, kind, item, removed))
         self._changed.set()
@@ -113,7 +120,10 @@
                 method, target, _ = msg[0].split(" ")
                 self.calls += 1
                 await asyncio.sleep(0.004)
-                status, body = await self._answer(method, target, msg[2])
+                if self.is_down:
+                    status, body = 503, {"error": "down"}
+                else:
+                    status, body = await self._answer(method, target, msg[2])
                 data = json.dumps(body).encode()
                 head = {"Content-Type": "application/json"}
                 writer.write(message(f"HTTP/1.1 {status} Status", head, data))
@@ -162,6 +172,8 @@
                 if k == kind and rev > since
             ]
             left = until - time.monotonic()
+            if self.is_down:
+                return 503, {"error": "down"}
             if events or left <= 0:
                 return 200, self._list(events=events)
             with contextlib.suppress(asyncio.TimeoutError):
@@ -204,6 +216,10 @@
     async def report(self, method: str) -> int:
         """Send a heartbeat or the departure; return the status."""
         self._sequence += 1
+        return await self.deliver(method, self.heartbeat())
+
+    def heartbeat(self) -> bytes:
+        """Return the body of a heartbeat that is sent now."""
         body = {
             "address": f"{self.node.ip}:{APP}",
             "info": {
@@ -218,7 +234,11 @@
                 "warmupLeft": "0ms",
             },
         }
-        data = json.dumps(body).encode() if method == "PUT" else b""
+        return json.dumps(body).encode()
+
+    async def deliver(self, method: str, body: bytes) -> int:
+        """Deliver a heartbeat or the departure to the node; return the status."""
+        data = body if method == "PUT" else b""
         async with asyncio.timeout(1.0):
             reader, writer = await asyncio.open_connection(self.node.ip, CONTROL)
             try:
