--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 from pathlib import Path
 
@@ -523,7 +524,12 @@
 
     async def main() -> list[str]:
         # Connections that are cut while the stand-ins end are no errors.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        # Whoever ends the script leaves no node behind.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(110):
                 return await case(trouble, holder)
@@ -533,7 +539,9 @@
 
     try:
         broken = asyncio.run(main())
-    except (CannotRun, OSError, asyncio.TimeoutError) as exc:
+    except (Exception, asyncio.CancelledError) as exc:
+        # An error of the script itself must not look like a broken rule.
+        traceback.print_exc()
         print(f"cannot run: {type(exc).__name__}: {exc}")
         return 2
     record = holder["world"].record
