Report no orderly end of a connection after a failed send

Callers got part of a response as a complete one: a server answered an upload with a 200 without a length, sent part of the body and reset the connection while the upload was being sent.

Cause: a socket reports its error once. If a send took it, the next read returned no data, which was taken for the orderly end that completes a response without a length (RFC 9112, 6.3).

Change: Stream records the error of a failed send, and a read without data reports it, both awaited and polled. This holds for every reader on Stream: servers, links, callers, the store, health checks. The record is never raised itself, as its traceback would keep the data of the send.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -88,13 +88,16 @@
         Whether this end has closed the connection.
     """
 
-    __slots__ = ("_on_data", "_on_end", "_poller", "_sock", "closed")
+    __slots__ = ("_on_data", "_on_end", "_poller", "_send_error", "_sock", "closed")
 
     def __init__(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
         self.closed = False
+        # A socket reports its error once. A read after the failed send returns no
+        # data, like one at an orderly end.
+        self._send_error: BrokenStream | None = None
         self._poller: Poller | None = None
         self._on_data: Callable[[bytes], None] = _ignore
         self._on_end: Callable[[BrokenStream], None] = _ignore
@@ -139,15 +142,13 @@
             data = self._sock.recv(READ_BYTES)
         except BlockingIOError:
             return
-        except TimeoutError as exc:
-            self._finish_reading(SilentStream(str(exc)))
         except OSError as exc:
-            self._finish_reading(BrokenStream(str(exc)))
+            self._finish_reading(_broken_stream(exc))
         else:
             if data:
                 self._run_callback(self._on_data, data)
             else:
-                self._finish_reading(EndedStream("closed by the peer"))
+                self._finish_reading(self._end_reason())
 
     def _finish_reading(self, reason: BrokenStream) -> None:
         """Stop reading and call `on_end`, once."""
@@ -184,13 +185,14 @@
             self._check_open()
             try:
                 await trio.lowlevel.wait_readable(self._sock)
-                return self._sock.recv(READ_BYTES)
+                data = self._sock.recv(READ_BYTES)
             except BlockingIOError:
                 continue
-            except TimeoutError as exc:
-                raise SilentStream(str(exc)) from exc
             except (OSError, trio.ClosedResourceError) as exc:
-                raise BrokenStream(str(exc)) from exc
+                raise _broken_stream(exc) from exc
+            if not data and self._send_error is not None:
+                raise self._end_reason()
+            return data
 
     def send_parts(self, parts: Iterable[Buffer]) -> list[Buffer]:
         """Send as much as the socket accepts without waiting, and return the rest.
@@ -259,7 +261,7 @@
             except BlockingIOError:
                 continue
             except (OSError, trio.ClosedResourceError) as exc:
-                raise BrokenStream(str(exc)) from exc
+                raise self._record_send_error(exc) from exc
 
     def send_some(self, data: Buffer) -> Buffer:
         """Send as much as the socket accepts without waiting, and return the rest."""
@@ -269,9 +271,24 @@
         except BlockingIOError:
             return data
         except OSError as exc:
-            raise BrokenStream(str(exc)) from exc
+            raise self._record_send_error(exc) from exc
         return data[sent:] if sent < len(data) else b""
 
+    def _record_send_error(self, exc: Exception) -> BrokenStream:
+        """Record the error of a failed send, and return the one to raise."""
+        self._send_error = _broken_stream(exc)
+        return _broken_stream(exc)
+
+    def _end_reason(self) -> BrokenStream:
+        """Return why a read got no data.
+
+        The recorded error is never raised itself, as its traceback would keep this
+        connection and the data of the send alive.
+        """
+        if self._send_error is None:
+            return EndedStream("closed by the peer")
+        return type(self._send_error)(*self._send_error.args)
+
     def _check_open(self) -> None:
         """Raise `BrokenStream` if this end has closed the connection.
 
@@ -330,6 +347,13 @@
         self._sock.close()
 
 
+def _broken_stream(exc: Exception) -> BrokenStream:
+    """Return the error of a connection for the one that its socket raised."""
+    if isinstance(exc, TimeoutError):
+        return SilentStream(str(exc))
+    return BrokenStream(str(exc))
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split ``IP:PORT`` into IP address and port."""
     host, _, port = address.rpartition(":")
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/backend_server.py
@@ -156,6 +156,9 @@
         Number of responses without end in progress.
     behave : callable
         Returns the `Behaviour` for a request.
+    handle_conn : callable or None
+        Serves a whole connection in place of this server, for responses that
+        `Behaviour` cannot express.
     health_headers : callable
         Returns further header lines of the response to a health check.
     n_health_checks : int
@@ -187,6 +190,7 @@
         self.connections = 0
         self.n_endless = 0
         self.behave: Callable[[Request], Behaviour] = lambda _: Behaviour()
+        self.handle_conn: Callable[[Stream], Awaitable[None]] | None = None
         self.health_headers: Callable[[], tuple[bytes, ...]] = tuple
         self.n_health_checks = 0
         self.speed: Callable[[], int] | None = None
@@ -226,6 +230,14 @@
 
     async def _serve(self, stream: Stream) -> None:
         self.connections += 1
+        if self.handle_conn is not None:
+            try:
+                await self.handle_conn(stream)
+            except BrokenStream:
+                pass
+            finally:
+                stream.close()
+            return
         # These names match no header, so the reader passes all headers through as the
         # node sent them and tests can check them.
         plain = HeaderNames(
