Complete a response by the end of its connection only if its server has the request

Callers got part of a response as a complete one: a server answered an upload with a 200 without a length and closed its socket. Having read all that had arrived so far, it ended the connection in an orderly way, and the rest of the upload, which met a closed socket, reset it.

Cause: the end was taken for the end of the response, whatever became of the request. RFC 9112, 8: such a response is complete unless the connection indicates an error; 9.6: a server that wants to be read ends its own direction only and goes on reading.

Change: at the orderly end during a response without a length, the node waits until the server has acknowledged the whole request (TIOCOUTQ). The same in the client of the store and in the client of the other path.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_client.py
@@ -16,6 +16,7 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap_node.core.tcp import wait_acknowledged
 
 if TYPE_CHECKING:
     from fuchsiagap.core.clock import Milliseconds
@@ -242,7 +243,12 @@
         while True:
             event = conn.http.next_event()
             if event is h11.NEED_DATA:
-                conn.http.receive_data(await conn.stream.receive_some(_READ_BYTES))
+                data = await conn.stream.receive_some(_READ_BYTES)
+                if not data:
+                    # Not all of the request may have arrived before the connection
+                    # ended, which does not complete a response without a length.
+                    await wait_acknowledged(conn.stream.socket)
+                conn.http.receive_data(data)
             elif isinstance(event, h11.Data):
                 n_bytes += len(event.data)
                 if n_bytes > self.body_bytes:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import trio
+
 from fuchsiagap_node.core.mesh.http_response import BadResponse, ResponseReader
 from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.outcome import (
@@ -20,6 +22,7 @@
     Stream,
     dial,
 )
+from fuchsiagap_node.core.tcp import ACK_CHECK_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -94,6 +97,9 @@
         Local time in milliseconds at which its last answer was complete.
     silent : bool
         Whether it broke because the other end stopped responding.
+    is_ending : bool
+        Whether the server has ended the connection, and it is not yet known whether
+        that completes the answer; see `confirm_end`.
     """
 
     def __init__(
@@ -123,6 +129,7 @@
         self.response: Response | None = None
         self.closed = False
         self.silent = False
+        self.is_ending = False
 
     def close(self) -> None:
         """Close the connection; tasks that wait on it get `BrokenStream`."""
@@ -251,6 +258,32 @@
             self._on_read(self, None if answer is None else _outcome(answer))
 
     def _handle_end(self, cause: BrokenStream) -> None:
+        if isinstance(cause, EndedStream) and self._reader.ends_with_connection:
+            self.is_ending = True
+            self._on_read(self, None)
+        else:
+            self._finish(cause)
+
+    async def confirm_end(self) -> None:
+        """Decide whether the end of the connection completes the answer.
+
+        It does if the server has received the whole request. A server that closes its
+        socket before resets the connection once more of the request arrives, while one
+        that has only ended its own direction goes on reading.
+        """
+        assert self._stream is not None
+        cause: BrokenStream = EndedStream("closed by the peer")
+        try:
+            await self._stream.wait_acknowledged()
+            while self.has_unsent:
+                await trio.sleep(ACK_CHECK_S)
+                await self._stream.wait_acknowledged()
+        except BrokenStream as exc:
+            cause = exc
+        self._finish(cause)
+
+    def _finish(self, cause: BrokenStream) -> None:
+        self.is_ending = False
         self._read_end(cause)
         self._reader.close()
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conns.py
@@ -254,6 +254,8 @@
                 self.close_stale(conn)
             if outcome is not None:
                 self._handle_outcome(conn, outcome)
+            if conn.is_ending and self._nursery is not None:
+                self._nursery.start_soon(conn.confirm_end)
         except Exception as exc:
             self._handle_fault(conn, exc)
         if conn.closed:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_client.py
@@ -114,6 +114,9 @@
         reader = ResponseReader(self._names, BodyMemory(_MAX_BODY_BYTES))
         while True:
             data = await stream.receive()
+            if not data:
+                # Not all of the request may have arrived before the connection ended.
+                await stream.wait_acknowledged()
             responses = reader.feed(data) if data else reader.end()
             if responses:
                 return responses[0]
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -241,11 +241,16 @@
         """
         if not self.in_message:
             return []
-        if not self._is_head_complete or self._has_framing:
+        if not self.ends_with_connection:
             raise BadResponse("connection closed in the middle of a response")
         self._finish(keep_alive=False)
         return self._take_completed()
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether a response without a length is in progress."""
+        return self.in_message and self._is_head_complete and not self._has_framing
+
     def close(self) -> None:
         """Drop what has been read, and the parser, which refers back to this reader."""
         self._reset()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -14,6 +14,7 @@
 import trio
 
 from fuchsiagap.core.clock import MS_PER_S
+from fuchsiagap_node.core import tcp
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -309,6 +310,26 @@
             return False
         return False
 
+    async def wait_acknowledged(self) -> None:
+        """Wait until the peer has acknowledged all that was sent.
+
+        Raises
+        ------
+        BrokenStream
+            If the connection was reset before, or closed by this end.
+        """
+        while self._has_unacknowledged():
+            await trio.sleep(tcp.ACK_CHECK_S)
+
+    def _has_unacknowledged(self) -> bool:
+        self._check_open()
+        if self._send_error is not None:
+            raise self._end_reason()
+        try:
+            return tcp.has_unacknowledged(self._sock)
+        except OSError as exc:
+            raise self._record_send_error(exc) from exc
+
     def set_user_timeout(self, wait: Milliseconds) -> None:
         """Reset the connection if sent data stays unacknowledged for `wait` ms."""
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(wait))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from typing import TYPE_CHECKING
 
 import trio
@@ -15,6 +17,7 @@
     from collections.abc import Awaitable, Callable
 
 _TEST_TIMEOUT_S = 60.0
+_RECEIVE_BUFFER_BYTES = 16_384
 _CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 _OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
@@ -42,6 +45,20 @@
         self.disconnected.set()
 
 
+class _ResettingServer(_Server):
+    """Server that ends its response early, and then resets the connection."""
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+        await stream.receive_some(100)
+        await stream.send_all(b"HTTP/1.1 200 OK\r\n\r\npart")
+        await stream.send_eof()
+        await trio.sleep(0.02)
+        linger = struct.pack("ii", 1, 0)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await trio.aclose_forcefully(stream)
+
+
 class TestHttpBackend(TestCase):
     def _run_with(
         self,
@@ -94,6 +111,15 @@
         ):
             self._expect(reply, Unknown, Reason.INCOMPLETE_ANSWER)
 
+    def test_part_of_a_response_is_no_response_when_the_request_is_reset(self) -> None:
+        outcomes: list[Outcome] = []
+
+        async def use(backend: HttpBackend, _server: _Server) -> None:
+            outcomes.append(await backend.send(a_head(), b"x" * 360_000, 5_000.0))
+
+        self._run_with(_ResettingServer, use)
+        self.assertIsInstance(outcomes[0], Unknown)
+
     def test_no_response(self) -> None:
         for reply in (b"", b"HTTP/1.1 200 OK\r\n", b"\x00\x01 nonsense\r\n\r\n"):
             self._expect(reply, Unknown, Reason.CONNECTION_LOST)
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_sockets.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_sockets.py
@@ -18,6 +18,7 @@
 import outcome
 import trio
 
+from fuchsiagap_node.core import tcp
 from fuchsiagap_node.core.mesh import poller, stream
 
 if TYPE_CHECKING:
@@ -326,6 +327,9 @@
     lowlevel = trio.lowlevel
     with (
         mock.patch.object(stream, "socket", _SocketModule(network)),
+        mock.patch.object(
+            tcp, "has_unacknowledged", _wrap_unacknowledged(tcp.has_unacknowledged)
+        ),
         mock.patch.object(poller, "make_poller", MemoryPoller),
         mock.patch.object(
             lowlevel,
@@ -361,6 +365,16 @@
     return wait
 
 
+def _wrap_unacknowledged(original: Callable[[Any], bool]) -> Callable[[Any], bool]:
+    """Return a check for unacknowledged bytes of in-memory sockets and others."""
+
+    def has_unacknowledged(sock: Any) -> bool:
+        # The other end of an in-memory connection has at once what was sent.
+        return not isinstance(sock, MemorySocket) and original(sock)
+
+    return has_unacknowledged
+
+
 def _wrap_notify_closing(original: Callable[[Any], None]) -> Callable[[Any], None]:
     """Return a `notify_closing` for in-memory sockets and those of trio."""
 
