Reject responses with a status outside of the range of HTTP

Callers got 504 after the whole timeout of the route when a server answered with status 000 or 099: the response was taken for an informational one and the request waited for another. Statuses from 600 to 999 were passed on as they came.

Cause: httptools accepts any status of up to three digits, and the reader compared it with 200 only. On the other path h11 rejects what is below 100 but accepts up to 999.

Change: a status outside of 100 to 599 (RFC 9110, 15), or 101, for which no request here asks, makes the response malformed once its head is complete. The request is tried at another server or fails at once; the client of the store shares the reader.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_client.py
@@ -24,6 +24,8 @@
 
 _READ_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_S = 1.0
+# Largest HTTP status (RFC 9110, 15); `h11` accepts any of three digits.
+_MAX_STATUS = 599
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,6 +257,8 @@
                     return ResponseTooLarge(self.body_bytes)
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.Response):
+                if event.status_code > _MAX_STATUS:
+                    return NoResponse(f"response with status {event.status_code}")
                 head = event
                 conn.response_started = True
             elif isinstance(event, h11.EndOfMessage):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -20,6 +20,11 @@
 # and the next one follows.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
+# Range of HTTP statuses (RFC 9110, 15). `_SWITCHING_PROTOCOLS` is valid only as the
+# response to a request for another protocol, which no request here makes.
+_MIN_STATUS, _MAX_STATUS = 100, 599
+_SWITCHING_PROTOCOLS = 101
+
 # Share of the memory for bodies that a body of unknown length may take.
 _MAX_UNSTATED_SHARE = 0.5
 
@@ -315,6 +320,11 @@
         if b"HTTP/" in text and _STATUS_LINE.search(text):
             self._fail("status line within the head of a response")
 
+    def _check_status(self, status: int) -> None:
+        """Fail if a response has a status that no response to a request here has."""
+        if not _MIN_STATUS <= status <= _MAX_STATUS or status == _SWITCHING_PROTOCOLS:
+            self._fail(f"response with status {status:03d}")
+
     def _fail_head(self, n_bytes: int) -> NoReturn:
         """Fail because a header or trailer, or all of them, are too long."""
         if n_bytes > self._line_bytes:
@@ -325,6 +335,7 @@
     def on_headers_complete(self) -> None:
         """Mark the head as complete, and reserve memory for the whole body."""
         self._has_progress = True
+        self._check_status(self._parser.get_status_code())
         self._headers = b"".join(self._lines)
         self._check_not_truncated(self._reason)
         self._check_not_truncated(self._headers)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
@@ -124,6 +124,11 @@
         for reply in (b"", b"HTTP/1.1 200 OK\r\n", b"\x00\x01 nonsense\r\n\r\n"):
             self._expect(reply, Unknown, Reason.CONNECTION_LOST)
 
+    def test_response_with_a_status_outside_of_the_range_of_http(self) -> None:
+        for status in ("000", "099", "101", "600", "999", "1000"):
+            reply = f"HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok".encode()
+            self._expect(reply, Unknown, Reason.CONNECTION_LOST)
+
     def test_response_above_the_size_limit(self) -> None:
         reply = b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000
         self._expect(reply, Unknown, Reason.TOO_LARGE)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
@@ -55,6 +55,22 @@
         self.assertNotIn(NAMES.not_run, response.headers)
 
 
+class TestStatuses(TestCase):
+    def test_status_outside_of_the_range_of_http_is_malformed(self):
+        response = b"HTTP/1.1 %03d X\r\nCall-Id: new\r\nContent-Length: 2\r\n\r\nok"
+        for status in (0, 1, 20, 99, 101, 600, 700, 999, 1_000):
+            self.assertIsNone(read(response % status), status)
+            self.assertIsNone(read(b"HTTP/1.1 %03d X\r\n\r\n" % status), status)
+        for status in (200, 599):
+            (found,) = read(response % status)
+            self.assertEqual(status, found.status)
+
+    def test_informational_responses_precede_the_final_one(self):
+        for status in (100, 102, 103, 199):
+            (found,) = read(b"HTTP/1.1 %d X\r\n\r\n" % status + ANSWER)
+            self.assertEqual(200, found.status)
+
+
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 # Parts of a response by name: what precedes the part, and what it repeats without end.
