Test that a response with a malformed field in its head is no answer

No fault: a blank, a control byte or another byte that no name has in the name of a field, a line without a name, a control byte in a value, and names and lengths that resemble the framing are malformed for the reader already, byte by byte in each place of the name, and callers get 502 or the answer of another server.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
@@ -1,5 +1,6 @@
 """Responses that are cut short and followed by others, and parts without an end."""
 
+import string
 import tracemalloc
 
 from testtools import TestCase
@@ -71,6 +72,39 @@
             self.assertEqual(200, found.status)
 
 
+# Bytes of which the name of a field may consist (RFC 9110, 5.6.2).
+NAME_BYTES = b"!#$%&'*+-.^_`|~" + (string.digits + string.ascii_letters).encode()
+CONTROL_BYTES = {*range(32), 127} - {ord("\t")}
+
+
+class TestFields(TestCase):
+    def response_with(self, line, rest=b"Content-Length: 2\r\n\r\nok"):
+        """Return the responses read from one with a line in its head."""
+        return read(b"HTTP/1.1 200 OK\r\nCall-Id: new\r\n" + line + b"\r\n" + rest)
+
+    def test_name_with_a_byte_that_no_name_has_is_malformed(self):
+        for number in {*range(256)} - {*NAME_BYTES, ord(":")}:
+            byte = bytes([number])
+            for name in (byte + b"ab", b"a" + byte + b"b", b"ab" + byte):
+                self.assertIsNone(self.response_with(name + b": v"), name)
+
+    def test_value_with_a_control_byte_is_malformed(self):
+        for number in CONTROL_BYTES:
+            line = b"Name: v" + bytes([number]) + b"w"
+            self.assertIsNone(self.response_with(line), line)
+
+    def test_line_that_is_no_field_is_malformed(self):
+        for line in (b"name", b" name: v", b"\tname: v", b": v", b"Name: v\r\n w"):
+            self.assertIsNone(self.response_with(line), line)
+
+    def test_name_like_that_of_the_length_is_malformed(self):
+        for line in (b"Content Length: 2", b"Content-Length : 2", b"Content-Length: 3"):
+            self.assertIsNone(self.response_with(line), line)
+        chunks = b"\r\n2\r\nok\r\n0\r\n\r\n"
+        for line in (b"Transfer-Encoding\t: chunked", b"Transfer Encoding: chunked"):
+            self.assertIsNone(self.response_with(line, chunks), line)
+
+
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 # Parts of a response by name: what precedes the part, and what it repeats without end.
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_malformed_responses.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_malformed_responses.py
@@ -96,3 +96,28 @@
         for status in (b"000 X", b"099 X", b"101 X", b"700 X"):
             cause = run_in_memory(partial(main, status))
             self.assertIn("response with status", cause)
+
+
+class TestFields(TestCase):
+    def test_response_with_a_malformed_line_in_its_head_is_no_answer(self):
+        for line in (
+            b"a b: v",
+            b"ab : v",
+            b"a\x00b: v",
+            b"a\x01b: v",
+            b"a\x7fb: v",
+            b"a\xe9b: v",
+            b" ab: v",
+            b"ab",
+            b"ab: v\x00w",
+            b"Content Length: 2",
+            b"Content-Length: 2",
+            b"Transfer-Encoding\t: chunked",
+        ):
+            (code, body, took_s), reads = run_in_memory(
+                partial(send_to_malformed, a_response(line=line))
+            )
+            self.assertEqual((502, b""), (code, body), line)
+            self.assertLess(took_s, 0.2, line)
+            self.assertLessEqual(reads, {(200, b"whole"), (502, b"")}, line)
+            self.assertIn((200, b"whole"), reads, line)
