Reject responses with a control byte in the reason phrase

Callers got a status line that is none: a server's reason phrase with a control byte, NUL among them, was passed on as it came.

Cause: httptools checks the names and values of fields, not the reason phrase. Found while the reports on malformed heads were checked.

Change: such a response is malformed (RFC 9112, 4).

Evidence: two tests failed on the code before (200 in place of 502, and not malformed for the reader) and pass now.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -20,6 +20,9 @@
 # and the next one follows.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
+# Bytes that no reason phrase has (RFC 9112, 4).
+_CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
 # Range of HTTP statuses (RFC 9110, 15). `_SWITCHING_PROTOCOLS` is valid only as the
 # response to a request for another protocol, which no request here makes.
 _MIN_STATUS, _MAX_STATUS = 100, 599
@@ -337,6 +340,8 @@
         self._has_progress = True
         self._check_status(self._parser.get_status_code())
         self._headers = b"".join(self._lines)
+        if _CONTROL_BYTE.search(self._reason):
+            self._fail("control byte in the reason phrase")
         self._check_not_truncated(self._reason)
         self._check_not_truncated(self._headers)
         self._is_head_complete = True
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
@@ -66,6 +66,14 @@
             (found,) = read(response % status)
             self.assertEqual(status, found.status)
 
+    def test_reason_phrase_with_a_control_byte_is_malformed(self):
+        head = b"HTTP/1.1 200 O%sK\r\nCall-Id: new\r\nContent-Length: 2\r\n\r\nok"
+        for number in CONTROL_BYTES:
+            self.assertIsNone(read(head % bytes([number])), number)
+        for byte in (b"\t", b" ", b"\xe9"):
+            (found,) = read(head % byte)
+            self.assertEqual(b"O" + byte + b"K", found.reason)
+
     def test_informational_responses_precede_the_final_one(self):
         for status in (100, 102, 103, 199):
             (found,) = read(b"HTTP/1.1 %d X\r\n\r\n" % status + ANSWER)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_malformed_responses.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_malformed_responses.py
@@ -72,6 +72,14 @@
             self.assertLessEqual(reads, {(200, b"whole"), (502, b"")}, status)
             self.assertIn((200, b"whole"), reads, status)
 
+    def test_reason_phrase_with_a_control_byte_is_not_passed_on(self):
+        for byte in (b"\x00", b"\x01", b"\x7f"):
+            (code, body, took_s), _ = run_in_memory(
+                partial(send_to_malformed, a_response(b"200 O%sK" % byte))
+            )
+            self.assertEqual((502, b""), (code, body), byte)
+            self.assertLess(took_s, 0.2, byte)
+
     def test_client_fails_at_once_for_a_status_outside_of_the_range_of_http(self):
         async def main(status):
             server = BackendServer(free_address(), "")
