Reject responses in a transfer coding other than chunked

Callers got a body that was not the server's: a response with "Transfer-Encoding: gzip, chunked", or with chunked twice, was passed on with the coded bytes and without the field that names the coding.

Cause: the reader takes the chunks apart and drops Transfer-Encoding, whatever it names.

Evidence: test_transfer_coding_other_than_chunked_is_malformed failed on the code before and passes now.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -185,6 +185,7 @@
         self._leaving: bytes | None = None
         self._idle_timeout: float | None = None
         self._has_framing = False
+        self._is_chunked = False
         self._is_head_complete = False
 
     def feed(self, data: bytes) -> list[Response]:
@@ -294,6 +295,8 @@
             self._check_not_truncated(value)
             if lower_name == b"keep-alive":
                 self._idle_timeout = _idle_timeout(value)
+            elif lower_name == b"transfer-encoding":
+                self._set_transfer_coding(value)
             elif lower_name != b"connection":
                 self._has_framing = True
                 if lower_name == b"content-length" and value.isdigit():
@@ -313,6 +316,12 @@
             self._instance = value.decode("latin-1")
         self._lines.append(name + b": " + value + b"\r\n")
 
+    def _set_transfer_coding(self, coding: bytes) -> None:
+        """Accept only ``chunked``: a body in another coding could not be passed on."""
+        if self._is_chunked or coding.strip().lower() != b"chunked":
+            self._fail("response in a transfer coding other than chunked")
+        self._is_chunked = self._has_framing = True
+
     def _set_request_id(self, request_id: str) -> None:
         if self._request_id not in ("", request_id):
             self._fail("response with two identifiers")
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
@@ -105,6 +105,17 @@
         for line in (b"name", b" name: v", b"\tname: v", b": v", b"Name: v\r\n w"):
             self.assertIsNone(self.response_with(line), line)
 
+    def test_transfer_coding_other_than_chunked_is_malformed(self):
+        chunks = b"\r\n2\r\nok\r\n0\r\n\r\n"
+        line = b"Transfer-Encoding: "
+        for codings in (b"gzip, chunked", b"chunked, chunked", b"chunked, gzip", b"x"):
+            self.assertIsNone(self.response_with(line + codings, chunks), codings)
+        twice = line + b"chunked\r\n" + line + b"chunked"
+        self.assertIsNone(self.response_with(twice, chunks))
+        for coding in (b"chunked", b"Chunked", b"\tchunked "):
+            (found,) = self.response_with(line + coding, chunks)
+            self.assertEqual(b"ok", found.body)
+
     def test_name_like_that_of_the_length_is_malformed(self):
         for line in (b"Content Length: 2", b"Content-Length : 2", b"Content-Length: 3"):
             self.assertIsNone(self.response_with(line), line)
