Drop what a call of the store has read when it fails

Cause: the reader of a call and its parser refer to each other, and the client did not close the reader, so up to 8 MB a failed call stayed until the garbage collector ran.

Change: HttpClient closes the reader in any case.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_client.py
@@ -112,19 +112,29 @@
             lines.append(f"Content-Length: {len(body)}")
         await stream.send("\r\n".join([*lines, "", ""]).encode() + body)
         reader = ResponseReader(self._names, BodyMemory(_MAX_BODY_BYTES))
-        while True:
-            data = await stream.receive()
-            if not data:
-                # Not all of the request may have arrived before the connection ended.
-                await stream.wait_acknowledged()
-            responses = reader.feed(data) if data else reader.end()
-            if responses:
-                return responses[0]
-            if not data:
-                raise BadResponse("connection closed before a response")
+        try:
+            return await _read_response(stream, reader)
+        finally:
+            # A reader that is not closed keeps its data until the garbage collector
+            # runs, and calls that fail may be many.
+            reader.close()
 
     def close(self) -> None:
         """Close the idle connection, if there is one."""
         if self._idle is not None:
             self._idle.close()
             self._idle = None
+
+
+async def _read_response(stream: Stream, reader: ResponseReader) -> Response:
+    """Return the next response on a connection."""
+    while True:
+        data = await stream.receive()
+        if not data:
+            # Not all of the request may have arrived before the connection ended.
+            await stream.wait_acknowledged()
+        responses = reader.feed(data) if data else reader.end()
+        if responses:
+            return responses[0]
+        if not data:
+            raise BadResponse("connection closed before a response")
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_client.py
@@ -1,5 +1,8 @@
 """Successive and concurrent calls of the HTTP client."""
 
+import contextlib
+import gc
+import tracemalloc
 from functools import partial
 
 import trio
@@ -116,6 +119,27 @@
 
 
 class TestEndlessResponses(TestCase):
+    def test_failed_calls_keep_no_part_of_their_responses(self):
+        async def main():
+            server = BackendServer(free_address(), "")
+            server.behave = lambda _: Behaviour(ResponseMode.ENDLESS, endless="body")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.run)
+                await trio.sleep(0.01)
+                client = HttpClient(server.address, HeaderNames())
+                gc.disable()
+                tracemalloc.start()
+                for _ in range(3):
+                    with contextlib.suppress(CallFailed):
+                        await client.call("GET", "/", b"", 5_000.0)
+                n_bytes, _ = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                gc.enable()
+                nursery.cancel_scope.cancel()
+            return n_bytes
+
+        self.assertLess(run_in_memory(main), 2_000_000)
+
     def test_call_fails_before_its_timeout_when_the_response_has_no_end(self):
         async def main(name):
             server = BackendServer(free_address(), "")
