Drop what was read of a heartbeat when its connection ends

A server that sent header lines without end to the address for heartbeats raised its node by 20 MiB in two seconds.

Cause: the reader of the connection and its parser refer to each other, and the reader was not closed, so what it had read stayed until the garbage collector ran.

Change: the reader is closed at the end of the connection.

Evidence: test_truncated_requests_are_not_kept_after_their_connection: 2,743,338 bytes kept before (failed), under 900,000 now. Three real nodes, nine connections with header lines without end: 53 to 73 MiB before, 52 to 55 MiB now. Links between nodes and the address for callers, trials of seven kinds of bytes without end each: 35 and 52 MiB at most, all requests served, no process ended.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
@@ -46,8 +46,9 @@
     """
 
     async def serve(stream: Stream) -> None:
+        reader = RequestReader(names, _LIMITS)
         try:
-            await _serve(stream, handle, RequestReader(names, _LIMITS))
+            await _serve(stream, handle, reader)
         except BrokenStream:
             pass
         except BadRequest as exc:
@@ -55,6 +56,7 @@
         except Exception as exc:
             event_log.log_exception("side-http", exc)
         finally:
+            reader.close()
             stream.close()
 
     async with trio.open_nursery() as nursery:
