Bound the memory for small chunks on the other path

A server that sent a body in chunks of two bytes took some sixty times the size of the body of its node's memory, and informational responses were read without end.

Cause: each chunk was kept as an object of its own, counted by its bytes; informational responses were not counted.

Change: one buffer for the body, and at most 32 informational responses ahead of the final one, as on the platform's path.

Evidence: two tests of test_backend_http failed before: 25,060,393 bytes for a body of 400,000, and an answer behind 1,000 informational responses. Now under 4,000,000 bytes, and no answer.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_client.py
@@ -24,6 +24,8 @@
 
 _READ_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_S = 1.0
+# Maximum number of informational responses (1xx) ahead of a final one.
+_MAX_INFORMATIONAL = 32
 # Largest HTTP status (RFC 9110, 15); `h11` accepts any of three digits.
 _MAX_STATUS = 599
 
@@ -240,8 +242,8 @@
 
     async def _read_response(self, conn: _Conn) -> ExchangeResult:
         head: h11.Response | None = None
-        parts: list[bytes] = []
-        n_bytes = 0
+        body = bytearray()
+        n_informational = 0
         while True:
             event = conn.http.next_event()
             if event is h11.NEED_DATA:
@@ -252,10 +254,9 @@
                     await wait_acknowledged(conn.stream.socket)
                 conn.http.receive_data(data)
             elif isinstance(event, h11.Data):
-                n_bytes += len(event.data)
-                if n_bytes > self.body_bytes:
+                if len(body) + len(event.data) > self.body_bytes:
                     return ResponseTooLarge(self.body_bytes)
-                parts.append(bytes(event.data))
+                body += event.data
             elif isinstance(event, h11.Response):
                 if event.status_code > _MAX_STATUS:
                     return NoResponse(f"response with status {event.status_code}")
@@ -263,9 +264,12 @@
                 conn.response_started = True
             elif isinstance(event, h11.EndOfMessage):
                 assert head is not None
-                body = b"".join(parts)
-                return ClientResponse(head.status_code, list(head.headers), body)
-            elif not isinstance(event, h11.InformationalResponse):
+                return ClientResponse(head.status_code, list(head.headers), bytes(body))
+            elif isinstance(event, h11.InformationalResponse):
+                n_informational += 1
+                if n_informational > _MAX_INFORMATIONAL:
+                    return NoResponse("too many informational responses")
+            else:
                 return NoResponse("connection closed before the response")
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+import tracemalloc
 from typing import TYPE_CHECKING
 
 import trio
@@ -64,6 +65,7 @@
         self,
         server: Callable[[], _Server],
         use: Callable[[HttpBackend, _Server], Awaitable[None]],
+        body_bytes: int = 1_000,
     ) -> None:
         async def main() -> None:
             running_server = server()
@@ -74,7 +76,8 @@
                     nursery.start_soon(
                         trio.serve_listeners, running_server.serve, listeners
                     )
-                    await use(http_backend(f"{host}:{port}", 4, 1000), running_server)
+                    backend = http_backend(f"{host}:{port}", 4, body_bytes)
+                    await use(backend, running_server)
                     nursery.cancel_scope.cancel()
 
         trio.run(main)
@@ -133,6 +136,28 @@
         reply = b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000
         self._expect(reply, Unknown, Reason.TOO_LARGE)
 
+    def test_informational_responses_without_end_are_no_response(self) -> None:
+        informational = b"HTTP/1.1 102 Processing\r\n\r\n"
+        outcome = self._outcome_of(informational * 1_000 + _OK)
+        self.assertIsInstance(outcome, Unknown)
+        outcome = self._outcome_of(informational * 20 + _OK)
+        self.assertIsInstance(outcome, Answered)
+
+    def test_small_chunks_take_no_more_memory_than_their_content(self) -> None:
+        reply = _CHUNKED + b"2\r\nxy\r\n" * 200_000 + b"0\r\n\r\n"
+        peaks: list[int] = []
+
+        async def use(backend: HttpBackend, _server: _Server) -> None:
+            tracemalloc.start()
+            outcome = await backend.send(a_head(), b"", 5_000.0)
+            peaks.append(tracemalloc.get_traced_memory()[1])
+            tracemalloc.stop()
+            assert isinstance(outcome, Answered)
+            self.assertEqual(400_000, len(outcome.body))
+
+        self._run_with(lambda: _Server(reply), use, 1_000_000)
+        self.assertLess(peaks[0], 4_000_000)
+
     def test_call_that_the_server_did_not_run_is_refused(self) -> None:
         reply = b"HTTP/1.1 503 X\r\nfuchsiagap-not-run: 1\r\ncontent-length: 0\r\n\r\n"
         self._expect(reply, Refused, Reason.BACKEND_REFUSED)
