Refuse requests that would not finish before a planned exit

Callers got 502 at the end of a planned stop for requests that had been accepted up to three seconds after the SIGTERM and were passed on, also for requests that may not be repeated.

Cause: the node knew how long requests of a route take and when it would exit, but accepted each request of a caller for three seconds. Only nested calls, repeats and calls to the local server were compared with the time left.

Change: a request of a caller is refused as not run if half of the last 64 requests of its route (nine in ten for a non-idempotent one) would not finish in the time left, unless its deadline comes first. Without an answer of the route, the oldest one in progress counts.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/entry.py
@@ -191,11 +191,7 @@
         While the process stops, a call that cannot finish before the exit is refused,
         as its caller can still use that answer.
         """
-        wait = route.timeout if req.wait is None else min(route.timeout, req.wait)
-        if not self.planned_stop.may_begin(Work.NESTED_CALL, route.name, wait):
-            self._event_log.event(
-                "refused", request=req.request_id, route=route.name, cause=LEAVING
-            )
+        if not self._may_begin(Work.NESTED_CALL, req, route):
             done(FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS))
             return None
         service = self._rotation.pick(route)
@@ -204,6 +200,30 @@
         placement.start()
         return placement
 
+    def _may_begin(self, work: Work, req: Request, route: Route) -> bool:
+        """Whether a request may begin, also while the process stops."""
+        if not self.planned_stop.has_begun:
+            return True
+        wait = route.timeout if req.wait is None else min(route.timeout, req.wait)
+        is_nested = work is Work.NESTED_CALL
+        longest_running = 0.0 if is_nested else self._longest_running(route)
+        if self.planned_stop.may_begin(work, route.name, wait, longest_running):
+            return True
+        self._event_log.event(
+            "refused", request=req.request_id, route=route.name, cause=LEAVING
+        )
+        return False
+
+    def _longest_running(self, route: Route) -> Milliseconds:
+        """Return for how long the oldest request of a route has been in progress."""
+        now = self.now()
+        started = (
+            placement.started
+            for placement in self._context.in_progress
+            if placement.route_name == route.name
+        )
+        return now - min(started, default=now)
+
     def rank_of(self, host: str, target: bytes, request_id: str) -> int:
         """Return the priority rank of a request before its body has been read."""
         parent = self.parent_of(request_id)
@@ -276,7 +296,8 @@
 
         At most the share `covered` of the call trees is admitted.
         """
-        if not self.planned_stop.may_begin(Work.CALLER_REQUEST):
+        work = Work.CALLER_REQUEST if route.idempotent else Work.NON_IDEMPOTENT_REQUEST
+        if not self._may_begin(work, req, route):
             return FinalResponse(503, retry_after=DEFAULT_RETRY_AFTER_MS)
         # A response that is usually large has to find memory as well.
         n_expected = min(self._context.sizes.expected(route.name), LARGE_BODY_BYTES)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement.py
@@ -178,6 +178,16 @@
         self._peer: Peer | None = None
         self.wakes_at = float("inf")
 
+    @property
+    def route_name(self) -> str:
+        """Name of the route of the request."""
+        return self._route.name
+
+    @property
+    def started(self) -> Milliseconds:
+        """Local time in milliseconds at which the node had the request."""
+        return self._started
+
     def start(self) -> None:
         """Send the request to its first backend server."""
         self._context.in_progress[self] = None
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/placement_context.py
@@ -32,6 +32,14 @@
 
     wakes_at: Milliseconds
 
+    @property
+    def route_name(self) -> str:
+        """Name of the route of the request."""
+
+    @property
+    def started(self) -> Milliseconds:
+        """Local time in milliseconds at which the node had the request."""
+
     def wake(self) -> None:
         """Handle the timer that is due at `wakes_at`."""
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/planned_stop.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/planned_stop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,10 @@
 _STOP_MARGIN_MS = 700.0
 # Factor on the longest recent time of a route, within which a request ends.
 _RESERVE_FACTOR = 1.25
+# Milliseconds by which a request of a caller may take longer than others of its route.
+_END_RESERVE_MS = 100.0
+# Number of requests of each route whose times are known.
+_N_RECENT = 64
 # Factor by which the longest time of a route shrinks with each request.
 _DECAY = 0.99
 
@@ -31,7 +36,11 @@
     Attributes
     ----------
     CALLER_REQUEST
-        A request of a caller: as long as callers may not have noticed the stop.
+        An idempotent request of a caller: as long as callers may not have noticed the
+        stop, if half of the requests of its route finish in the time until the exit.
+    NON_IDEMPOTENT_REQUEST
+        The same for a request whose outcome would remain unknown if it were broken off:
+        if nine in ten finish.
     BACKEND_CALL
         A call of any node to the local backend server, or one that waits for it: for
         the first part of the stop, if it can finish before the exit.
@@ -43,20 +52,44 @@
     """
 
     CALLER_REQUEST = "caller request"
+    NON_IDEMPOTENT_REQUEST = "non-idempotent request"
     BACKEND_CALL = "backend call"
     NESTED_CALL = "nested call"
     RETRY = "retry"
 
 
+# Share of the recent requests of a route that have to finish in the time until the exit
+# for another one to begin.
+_FINISHING_SHARES = {Work.CALLER_REQUEST: 0.5, Work.NON_IDEMPOTENT_REQUEST: 0.9}
+
+
 class RouteTimes:
-    """Longest recent time of the requests of each route, in milliseconds."""
+    """Recent times of the requests of each route, in milliseconds."""
 
     def __init__(self) -> None:
         self._longest: dict[str, Milliseconds] = {}
+        self._recent: dict[str, deque[Milliseconds]] = {}
 
     def record(self, route: str, took: Milliseconds) -> None:
         """Record how long a request took from its start to its answer."""
         self._longest[route] = max(took, self._longest.get(route, 0.0) * _DECAY)
+        recent = self._recent.get(route)
+        if recent is None:
+            recent = self._recent[route] = deque(maxlen=_N_RECENT)
+        recent.append(took)
+
+    def quantile(self, route: str, share: float) -> Milliseconds | None:
+        """Return the time within which a share of the requests ended; None if unknown.
+
+        Parameters
+        ----------
+        route : str
+            Route of the requests.
+        share : float
+            Share of the recent requests, at least 0 and less than 1.
+        """
+        recent = self._recent.get(route)
+        return None if not recent else sorted(recent)[int(share * len(recent))]
 
     def expected(self, route: str) -> Milliseconds | None:
         """Return the time within which a request should end; None if not known."""
@@ -66,6 +99,7 @@
     def retain(self, routes: Collection[str]) -> None:
         """Forget the routes that no longer exist."""
         self._longest = {k: v for k, v in self._longest.items() if k in routes}
+        self._recent = {k: v for k, v in self._recent.items() if k in routes}
 
 
 class PlannedStop:
@@ -136,8 +170,12 @@
         elapsed = self.elapsed
         if elapsed < 0.0:
             return True
-        if work is Work.CALLER_REQUEST:
-            return elapsed < min(_REFUSE_AFTER_MS, self._time_to_stop / 2.0)
+        if work in _FINISHING_SHARES:
+            expected = self.route_times.quantile(route, _FINISHING_SHARES[work])
+            expected = longest_running if expected is None else expected
+            return self._accepts_caller_requests and self._can_finish(
+                elapsed, expected + _END_RESERVE_MS, time_left
+            )
         if work is Work.BACKEND_CALL and not self.accepts_backend_calls:
             return False
         is_at_server = work is Work.BACKEND_CALL
@@ -147,6 +185,10 @@
             expected = max(expected or 0.0, longest_running * _RESERVE_FACTOR)
         return self._can_finish(elapsed, expected, time_left)
 
+    @property
+    def _accepts_caller_requests(self) -> bool:
+        return self.elapsed < min(_REFUSE_AFTER_MS, self._time_to_stop / 2.0)
+
     @property
     def accepts_backend_calls(self) -> bool:
         """Whether calls to the local backend server may still begin."""
@@ -164,5 +206,5 @@
         if time_left <= left:
             return True
         if expected is None:
-            return elapsed < min(_REFUSE_AFTER_MS, self._time_to_stop / 2.0)
+            return self._accepts_caller_requests
         return expected <= left
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_planned_stop.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_planned_stop.py
@@ -12,6 +12,10 @@
 
 PARENT = a_route("parent", "certs", timeout=5_000.0)
 CHILD = a_route("child", "results", timeout=2_500.0)
+SLOW = a_route("slow", "certs", idempotent=False, timeout=5_000.0)
+SLOW_MS = 2_400.0
+# Requests during the first three seconds of a stop.
+N_SENT, SEND_INTERVAL_S = 100, 0.03
 CALL_MS = 800.0
 N_CALLS = 6
 
@@ -32,14 +36,19 @@
         clock = ManualClock()
         stop = PlannedStop(clock)
         stop.route_times.record("child", 800.0)
+        stop.route_times.record("slow", 2_400.0)
+        for _ in range(4):
+            stop.route_times.record("mixed", 100.0)
+            stop.route_times.record("mixed", 100.0)
+            stop.route_times.record("mixed", 4_000.0)
         stop.server_times.record("child", 800.0)
         stop.server_times.record("slow", 3_000.0)
 
-        def last_moment(work, route="", time_left=float("inf")):
+        def last_moment(work, route="", time_left=float("inf"), running=0.0):
             moments = []
             for ms in range(0, 6_000, 100):
                 clock.time = 1_000.0 + ms
-                if stop.may_begin(work, route, time_left):
+                if stop.may_begin(work, route, time_left, running):
                     moments.append(ms)
             return max(moments, default=None)
 
@@ -47,6 +56,14 @@
         clock.time = 1_000.0
         stop.begin(6_000.0)
         self.assertEqual(2_900, last_moment(Work.CALLER_REQUEST))
+        for work in (Work.CALLER_REQUEST, Work.NON_IDEMPOTENT_REQUEST):
+            self.assertEqual(2_900, last_moment(work))
+            self.assertEqual(2_900, last_moment(work, "child"))
+            self.assertEqual(2_800, last_moment(work, "slow"))
+            self.assertEqual(2_900, last_moment(work, "slow", 2_300.0))
+            self.assertEqual(2_400, last_moment(work, "unknown", running=2_800.0))
+        self.assertEqual(2_900, last_moment(Work.CALLER_REQUEST, "mixed"))
+        self.assertEqual(1_200, last_moment(Work.NON_IDEMPOTENT_REQUEST, "mixed"))
         self.assertEqual(1_900, last_moment(Work.BACKEND_CALL, "child"))
         self.assertEqual(1_500, last_moment(Work.BACKEND_CALL, "slow"))
         self.assertEqual(1_900, last_moment(Work.BACKEND_CALL, "unknown"))
@@ -116,6 +133,38 @@
         self.assertEqual(([200] * 4, 0), self.run_stop(servers=2))
 
 
+class TestCallerRequests(TestCase):
+    def test_request_that_cannot_finish_before_the_exit_is_refused(self):
+        async def main():
+            async with a_deployment(SLOW) as deployment:
+                stopping = deployment.add("bookings")
+                served = deployment.add("certs", slots=2 * N_SENT)
+                served.server.behave = lambda _: Behaviour(work=SLOW_MS)
+                await deployment.settle()
+                finals = {}
+
+                async def send(number):
+                    await trio.sleep(number * SEND_INTERVAL_S)
+                    answer = await stopping.send(
+                        "/slow/1", f"r{number}", 5_000.0, "POST"
+                    )
+                    finals[number] = None if answer is None else answer.status
+
+                await send(0)
+                async with trio.open_nursery() as nursery:
+                    for number in range(1, N_SENT):
+                        nursery.start_soon(send, number)
+                    await stopping.node.stop()
+                    stopping.kill()
+                return finals, sum(served.server.runs.values())
+
+        finals, n_runs = run_in_memory(main)
+        self.assertEqual({200, 503}, set(finals.values()))
+        self.assertEqual(list(finals.values()).count(200), n_runs)
+        early = [finals[number] for number in range(N_SENT // 2)]
+        self.assertEqual({200}, set(early))
+
+
 class TestNestedCalls(TestCase):
     def test_no_nested_call_is_broken_off_by_the_exit_of_a_stopping_node(self):
         async def main():
