Treat responses that cannot be decoded as failures on the other path

A list of the platform's object API with a deeply nested value or a version of 1e999, or a load report of a server with such a value, raised an exception that nothing handled.

Cause: RecursionError and OverflowError were not among the errors of decoding.

Change: they are; the response counts as a failure, or as no report. One odd entry still costs the list on that path.

Evidence: test_list_that_cannot_be_decoded_is_a_failure and test_load_that_cannot_be_decoded_is_no_report failed before.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/backend_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/backend_http.py
@@ -168,5 +168,5 @@
             in_flight=max(int(value.get("in_flight", 0)), 0),
             draining=bool(value.get("draining", False)),
         )
-    except (ValueError, TypeError, AttributeError):
+    except (ValueError, TypeError, AttributeError, RecursionError, OverflowError):
         return None
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/platform_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/platform_http.py
@@ -34,6 +34,16 @@
 
 DELETED_HEADER = "object-deleted"
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Errors of the decoding of a response; `RecursionError` for deep nesting, and
+# `OverflowError` for numbers that are too large.
+_UNDECODABLE = (
+    ValueError,
+    KeyError,
+    TypeError,
+    binascii.Error,
+    RecursionError,
+    OverflowError,
+)
 _NOT_SENT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
 
@@ -265,7 +275,7 @@
     try:
         entries = json.loads(reply.body)["objects"]
         return tuple(_parse_entry(entry) for entry in entries)
-    except (ValueError, KeyError, TypeError, binascii.Error) as exc:
+    except _UNDECODABLE as exc:
         return PlatformUnavailable(maybe_applied=False, detail=_describe_exception(exc))
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import tracemalloc
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -177,6 +178,22 @@
 
         self._run_with(lambda: _Server(b""), use)
 
+    def test_load_that_cannot_be_decoded_is_no_report(self) -> None:
+        nested = b"[" * 2_000 + b"]" * 2_000
+        for value in (nested, b'{"slots": 1e999}'):
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(value)
+            reports: list[object] = []
+
+            async def use(
+                backend: HttpBackend,
+                _server: _Server,
+                reports: list[object] = reports,
+            ) -> None:
+                reports.append(await backend.load())
+
+            self._run_with(partial(_Server, head + value), use, 10_000)
+            self.assertIsNone(reports[0], value[:20])
+
     def test_call_without_listener_is_refused(self) -> None:
         async def main() -> Outcome:
             listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_platform_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_platform_http.py
@@ -58,6 +58,20 @@
 
 
 class PlatformHttpTest(TestCase):
+    def test_list_that_cannot_be_decoded_is_a_failure(self):
+        entry = '{"path": "/x", "value": "", "deleted": false, "version": %s}'
+        nested = "[" * 60_000 + "]" * 60_000
+        found = []
+
+        async def use(platform):
+            found.append(await platform.list("/x"))
+
+        for version in (nested, "1e999", "9" * 5_000):
+            body = f'{{"objects": [{entry % version}]}}'.encode()
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+            trio.run(with_raw_server, head + body, use, 2_000.0)
+            self.assertIsInstance(found[-1], PlatformUnavailable, version[:9])
+
     def test_objects_are_read_as_written(self):
         async def use(store, platform):
             self.assertEqual(Missing(PATH), await platform.get(PATH))
