Complete no informational response by the end of its connection

Callers got an answer with status 000, 099, 100 or 103: a server sent a head with such a status and closed the connection.

Cause: after an informational response the reader still counted a response as begun, with a complete head and without a length, so the orderly end of the connection completed it.

Change: an informational response leaves no response in progress.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -389,6 +389,7 @@
         if self._parser.get_status_code() >= 200:
             self._finish(self._parser.should_keep_alive())
             return
+        self.in_message = False
         self._n_informational += 1
         if self._n_informational > self._max_informational:
             self._fail("too many informational responses", "informational")
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
@@ -66,6 +66,13 @@
             (found,) = read(response % status)
             self.assertEqual(status, found.status)
 
+    def test_end_after_an_informational_response_completes_no_response(self):
+        for status in (100, 102, 103, 199):
+            reader = ResponseReader(NAMES)
+            data = b"HTTP/1.1 %d X\r\nCall-Id: new\r\n\r\n" % status
+            self.assertEqual([], reader.feed(data))
+            self.assertEqual([], reader.end())
+
     def test_reason_phrase_with_a_control_byte_is_malformed(self):
         head = b"HTTP/1.1 200 O%sK\r\nCall-Id: new\r\nContent-Length: 2\r\n\r\nok"
         for number in CONTROL_BYTES:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_malformed_responses.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_malformed_responses.py
@@ -72,6 +72,23 @@
             self.assertLessEqual(reads, {(200, b"whole"), (502, b"")}, status)
             self.assertIn((200, b"whole"), reads, status)
 
+    def test_informational_response_before_the_end_of_a_connection_is_no_answer(self):
+        async def main(status):
+            async with a_deployment(WRITE) as deployment:
+                host = deployment.add("certs")
+                head = b"HTTP/1.1 %03d X\r\nCall-Id: r1\r\n\r\n" % status
+
+                async def handle_conn(stream):
+                    await stream.receive()
+                    await stream.send(head)
+
+                host.server.handle_conn = handle_conn
+                await deployment.settle()
+                return (await host.send("/write/1", "r1", method="POST")).status
+
+        for status in (0, 99, 100, 101, 103):
+            self.assertEqual(502, run_in_memory(partial(main, status)), status)
+
     def test_reason_phrase_with_a_control_byte_is_not_passed_on(self):
         for byte in (b"\x00", b"\x01", b"\x7f"):
             (code, body, took_s), _ = run_in_memory(
