test_interrupted_responses: give requests time, expect 502 alone

Virtual time runs ahead while the kernel delays an acknowledgement, so a deadline of 3 s could pass on a busy machine. With 60 s the status is 502 in each case, which is checked now in place of 502 or 504.

Three runs at once beside six busy processes: 6 passed in each.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_interrupted_responses.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_interrupted_responses.py
@@ -16,7 +16,9 @@
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route, free_address
 from fuchsiagap_standins.mesh.virtual import run_on_loopback
 
-WRITE = a_route("write", idempotent=False, timeout=3_000.0)
+# Virtual time runs ahead while the kernel delays an acknowledgement.
+WAIT_MS = 60_000.0
+WRITE = a_route("write", idempotent=False, timeout=WAIT_MS)
 RECEIVE_BUFFER_BYTES = 16_384
 # More than the receive buffer of a server takes, and more than the send buffer of the
 # other end takes besides.
@@ -127,7 +129,7 @@
         host.server.handle_conn = handle_conn
         await deployment.settle()
         answers = [
-            await host.send("/write/1", f"r{number}", 3_000.0, "POST", body)
+            await host.send("/write/1", f"r{number}", WAIT_MS, "POST", body)
             for number in range(n)
         ]
         return [(answer.status, answer.body) for answer in answers]
@@ -139,7 +141,7 @@
             answers = run_on_loopback(partial(send_uploads, handle_conn, body))
             message = f"{handle_conn.__name__}, {len(body)} bytes"
             self.assertEqual([b""] * 3, [x[1] for x in answers], message)
-            self.assertLessEqual({x[0] for x in answers}, {502, 504}, message)
+            self.assertEqual({502}, {x[0] for x in answers}, message)
 
     def test_response_is_complete_when_its_server_reads_the_whole_upload(self):
         servers = (end_output_and_read_all, read_all_and_close)
@@ -211,7 +213,7 @@
         await trio.sleep(0.01)
         client = HttpClient(server.address, HeaderNames())
         try:
-            return (await client.call("PUT", "/", body, 3_000.0)).body
+            return (await client.call("PUT", "/", body, WAIT_MS)).body
         except CallFailed:
             return None
         finally:
