Run the tests of a group in one process again

All tests that start processes ran beside each other. The two tests of test_signals use the same addresses: the node of one ended at its start with "cannot listen on 127.1.229.1:18300: Address already in use" (log of a trial).

Evidence: test_signals and test_main with three processes on the code before, 3 runs: the one or the other failed in each, with these two messages.

Change: conftest.py has a scheduling of its own, which tells the group by the module.

--- a/conftest.py
+++ b/conftest.py
@@ -3,13 +3,19 @@
 from __future__ import annotations
 
 import logging
+import zlib
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import pytest
+from xdist.scheduler import LoadScopeScheduling
 
-# Group of each listed test module. pytest-xdist runs the tests of a group one after the
-# other in one process. Most of them start processes of their own; in parallel these
-# would compete for CPU time, and the results would depend on the machine.
+if TYPE_CHECKING:
+    from xdist.remote import Producer
+
+# Group of each listed test module. The tests of a group run one after the other in one
+# process. Most of them start processes of their own; in parallel these would compete
+# for CPU time and addresses, and the results would depend on the machine.
 _GROUP_BY_MODULE = {
     "test_soak": "soak",
     "test_sheet": "sheets",
@@ -18,6 +24,18 @@
     "test_signals": "processes",
     "test_processes": "processes",
 }
+# Groups that are divided between several processes, and their number.
+_N_PROCESSES = {"soak": 2}
+
+
+class _GroupScheduling(LoadScopeScheduling):
+    """Runs the tests of a group in the same process, and all others in any."""
+
+    def _split_scope(self, nodeid: str) -> str:
+        group = _GROUP_BY_MODULE.get(Path(nodeid.partition("::")[0]).stem)
+        if group is None:
+            return nodeid
+        return f"{group}-{zlib.crc32(nodeid.encode()) % _N_PROCESSES.get(group, 1)}"
 
 
 def pytest_configure(config: pytest.Config) -> None:
@@ -25,9 +43,9 @@
     logging.getLogger().addHandler(logging.NullHandler())
 
 
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Assign the tests of the listed modules to their groups."""
-    for item in items:
-        group = _GROUP_BY_MODULE.get(Path(item.path).stem)
-        if group is not None:
-            item.add_marker(pytest.mark.xdist_group(group))
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(
+    config: pytest.Config, log: Producer
+) -> LoadScopeScheduling:
+    """Return the scheduling that keeps the tests of a group together."""
+    return _GroupScheduling(config, log)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -46,7 +46,7 @@
 
 def test_name(node_id: str) -> str:
     """Return the dotted name of a test from its pytest node identifier."""
-    path, _, rest = node_id.partition("@")[0].partition("::")
+    path, _, rest = node_id.partition("::")
     module = path.rpartition("src/")[2].removesuffix(".py").replace("/", ".")
     return ".".join(part for part in (module, *rest.split("::")) if part)
 
@@ -81,7 +81,7 @@
     arguments = [
         *("packages", "platform", "tools"),
         *("-q", "--disable-warnings", f"--durations={N_SLOWEST_SHOWN}"),
-        *("-n", str(N_WORKERS), "--dist", "loadgroup"),
+        *("-n", str(N_WORKERS)),
     ]
     if patterns:
         arguments += ["-k", " or ".join(patterns)]
