Close connections of callers once their responses have been read

Cause: a connection was closed in the call that put its last response into the send buffer. The kernel answers input at a closed socket with a reset and drops what is not delivered. Idle connections were closed in the same way, and a stop ended once all was handed to the kernel.

Change: the sending direction is closed first, and the rest once the caller has closed its end; input is discarded in between (`graceful_close`). `100 Continue` that does not fit in the socket no longer aborts the connection, which dropped earlier responses as well. Connections that end with unacknowledged responses are counted, logged after a timeout, and stand in `ending`.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -15,6 +15,7 @@
     DEFAULT_RETRY_AFTER_MS,
     FinalResponse,
 )
+from fuchsiagap_node.core.mesh.graceful_close import GracefulClose
 from fuchsiagap_node.core.mesh.http_request import BadRequest, RequestReader
 from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
 from fuchsiagap_node.core.mesh.stream import BrokenStream
@@ -175,13 +176,36 @@
         """Close connections whose idle or header timeout has passed."""
         now = self._clock.now()
         for conn in [c for c in self._connections if c.is_timed_out(now)]:
-            conn.stream.close()
+            conn.close_timed_out()
 
     def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
         for conn in list(self._connections):
             if conn.is_idle():
-                conn.stream.close()
+                conn.close_gracefully()
+
+    def delays_exit(self) -> bool:
+        """Whether callers may lose responses if the process exits now."""
+        now = self._clock.now()
+        return any(conn.delays_exit(now) for conn in self._connections)
+
+    def count_unacknowledged(self) -> int:
+        """Return the number of connections with unacknowledged responses."""
+        return sum(1 for conn in self._connections if conn.n_unacknowledged())
+
+    def record_cut(self, cause: str, n_bytes: int) -> None:
+        """Record that a connection ends with unacknowledged responses.
+
+        Parameters
+        ----------
+        cause : str
+            ``"caller"`` if the caller has ended it, ``"timeout"`` if this node has.
+        n_bytes : int
+            Bytes that the caller has not acknowledged.
+        """
+        self._event_log.counts["caller_connections_cut", cause] += 1
+        if cause != "caller":
+            self._event_log.event("caller-connection-cut", cause=cause, bytes=n_bytes)
 
     def reader(self) -> RequestReader:
         """Return a request reader with the active limits."""
@@ -256,9 +280,22 @@
         self._unsent: list[Buffer] = []
         self._is_paused = False
         self._ignores_input = False
+        self._graceful_close: GracefulClose | None = None
 
     def is_idle(self) -> bool:
-        return not self._exchanges and not self._reader.in_message
+        return not self._exchanges and not self._reader.in_message and not self._unsent
+
+    def n_unacknowledged(self) -> int:
+        """Return the bytes of responses that the caller has not acknowledged."""
+        if self._graceful_close is not None:
+            return self._graceful_close.n_unacknowledged()
+        n_unsent = sum(len(part) for part in self._unsent)
+        return self.stream.count_unacknowledged() + n_unsent
+
+    def delays_exit(self, now: Milliseconds) -> bool:
+        """Whether the connection is being closed and its caller may still read."""
+        closing = self._graceful_close
+        return closing is not None and closing.delays_exit(now)
 
     def is_timed_out(self, now: Milliseconds) -> bool:
         """Whether the idle timeout or the header timeout has passed.
@@ -266,6 +303,8 @@
         While a response is sent, the idle timeout applies to the reading of the caller.
         """
         limits = self._listener.limits
+        if self._graceful_close is not None:
+            return self._graceful_close.is_timed_out(now, limits.idle_timeout)
         if self._unsent:
             return now - self._last_active_at > limits.idle_timeout
         if self._exchanges:
@@ -275,6 +314,8 @@
 
     def on_data(self, data: bytes) -> None:
         """Process data from the caller; an exception closes the connection."""
+        if self._graceful_close is not None:
+            return
         self._last_active_at = self._listener.now()
         if self._ignores_input:
             return
@@ -286,9 +327,13 @@
 
     def on_end(self, _: BrokenStream) -> None:
         """Cancel the requests in progress after the connection has ended."""
+        n_unacknowledged = self.n_unacknowledged()
+        if n_unacknowledged and not self.stream.closed:
+            self._listener.record_cut("caller", n_unacknowledged)
         self._abort()
         self._listener.remove(self)
-        self._reader.close()
+        if self._graceful_close is None:
+            self._reader.close()
 
     def _handle_data(self, data: bytes) -> None:
         try:
@@ -305,6 +350,7 @@
             self._reader.wants_continue
             and self._reader.in_message
             and not self._exchanges
+            and not self._ignores_input
         ):
             # Not sent while an earlier response is pending, which may be partly sent.
             self._reader.wants_continue = False
@@ -314,17 +360,15 @@
             self.stream.pause()
 
     def _send_continue(self) -> None:
-        """Send ``100 Continue``; close the connection if it does not fit in the socket.
-
-        With a full send buffer the caller has not read for a long time.
-        """
+        """Send ``100 Continue``, after earlier responses that wait to be sent."""
         try:
             rest = self.stream.send_some(b"HTTP/1.1 100 Continue\r\n\r\n")
         except BrokenStream:
             self._abort()
             return
         if rest:
-            self._abort()
+            self._unsent = [rest]
+            self._listener.send_later(self._send_rest_of_continue)
 
     def _resume_reading(self) -> None:
         """Resume reading once fewer than the maximum of requests are in progress."""
@@ -384,6 +428,17 @@
 
     async def _send_rest(self) -> None:
         """Send the rest of a response to a caller that reads slowly."""
+        if await self._send_unsent() and self._exchanges:
+            self._sent()
+            self._flush()
+
+    async def _send_rest_of_continue(self) -> None:
+        """Send the rest of ``100 Continue``, then the responses that wait for it."""
+        if await self._send_unsent():
+            self._flush()
+
+    async def _send_unsent(self) -> bool:
+        """Send what did not fit in the socket; return whether it was sent."""
         try:
             for part in self._unsent:
                 for start in range(0, len(part), _PROGRESS_BYTES):
@@ -392,11 +447,9 @@
                     self._last_active_at = self._listener.now()
         except BrokenStream:
             self._abort()
-            return
+            return False
         self._unsent = []
-        if self._exchanges:
-            self._sent()
-            self._flush()
+        return True
 
     def _sent(self) -> None:
         """Remove the exchange whose response was sent completely."""
@@ -406,8 +459,35 @@
         self._last_active_at = self._listener.now()
         self._resume_reading()
         if exchange.closes_connection:
-            self._ignores_input = True
+            self.close_gracefully()
+
+    def close_timed_out(self) -> None:
+        """Close the connection after a timeout; reset it if its caller reads nothing.
+
+        A caller that has sent no request, or a part of one, may still read responses.
+        """
+        if self._graceful_close is None and not self._unsent:
+            self.close_gracefully()
+            return
+        n_unacknowledged = self.n_unacknowledged()
+        if n_unacknowledged:
+            self._listener.record_cut("timeout", n_unacknowledged)
+        self.stream.close()
+
+    def close_gracefully(self) -> None:
+        """Close the connection once the caller has read all responses and closed it."""
+        if self._graceful_close is not None:
+            return
+        self._ignores_input = True
+        try:
+            self.stream.finish_sending()
+        except BrokenStream:
             self._abort()
+            return
+        self._reader.close()
+        self._graceful_close = GracefulClose(
+            self.stream, self._listener.now(), self._last_active_at
+        )
 
     def _abort(self) -> None:
         """Close the connection and cancel the requests in progress on it."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -642,6 +642,7 @@
             "ending",
             callers=self._callers.in_progress,
             running=self.backend_queue.running,
+            unacknowledged=self._callers.count_unacknowledged(),
             took=round(self._planned_stop.elapsed),
         )
 
@@ -657,7 +658,11 @@
             ):
                 self._callers.closing = True
                 self._callers.close_idle()
-                if not self._callers.in_progress and not self.backend_queue.running:
+                if not (
+                    self._callers.in_progress
+                    or self.backend_queue.running
+                    or self._callers.delays_exit()
+                ):
                     break
             await trio.sleep(_STOP_POLL_INTERVAL_MS / MS_PER_S)
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -330,6 +330,51 @@
         except OSError as exc:
             raise self._record_send_error(exc) from exc
 
+    def count_unacknowledged(self) -> int:
+        """Return the number of sent bytes without acknowledgement; 0 once closed."""
+        if self.closed:
+            return 0
+        try:
+            return tcp.count_unacknowledged(self._sock)
+        except OSError:
+            return 0
+
+    def finish_sending(self) -> None:
+        """Send an end of stream after all that was sent; reading goes on.
+
+        Raises
+        ------
+        BrokenStream
+            If the connection was reset before, or closed by this end.
+        """
+        self._check_open()
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError as exc:
+            raise self._record_send_error(exc) from exc
+
+    async def close_gracefully(self, wait: Milliseconds) -> None:
+        """Send an end of stream, and close the connection once the peer has.
+
+        The kernel answers data that arrives at a closed socket with a reset, on which
+        the peer may lose what it has not read yet. Input is therefore read and
+        discarded meanwhile.
+
+        Parameters
+        ----------
+        wait : float
+            Maximum milliseconds to wait for the peer.
+        """
+        try:
+            with trio.move_on_after(wait / MS_PER_S):
+                self.finish_sending()
+                while await self.receive():
+                    pass
+        except BrokenStream:
+            return
+        finally:
+            self.close()
+
     def set_user_timeout(self, wait: Milliseconds) -> None:
         """Reset the connection if sent data stays unacknowledged for `wait` ms."""
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(wait))
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/tcp.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/tcp.py
@@ -14,6 +14,20 @@
 ACK_CHECK_S = 0.005
 
 
+def count_unacknowledged(sock: socket.socket | trio.socket.SocketType) -> int:
+    """Return the number of sent bytes that the peer has not acknowledged.
+
+    An end of stream that was sent counts as one byte.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        A TCP socket.
+    """
+    (n_bytes,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
+    return int(n_bytes)
+
+
 def has_unacknowledged(sock: socket.socket | trio.socket.SocketType) -> bool:
     """Whether the peer has not yet acknowledged all that was sent.
 
@@ -27,8 +41,7 @@
     OSError
         If the connection was reset before.
     """
-    (n_bytes,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, bytes(4)))
-    if not n_bytes:
+    if not count_unacknowledged(sock):
         return False
     code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if code:
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_sockets.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_sockets.py
@@ -47,6 +47,7 @@
         self._received = bytearray()
         self._is_eof = False
         self._is_reset = False
+        self._is_shut_down = False
         self._is_closed = False
         self._reader: trio.lowlevel.Task | None = None
         self._writer: trio.lowlevel.Task | None = None
@@ -118,7 +119,7 @@
         peer = self._peer
         if self._is_closed or peer is None:
             raise OSError(errno.EBADF, "not connected")
-        if peer._is_closed:
+        if peer._is_closed or self._is_shut_down:
             raise BrokenPipeError(errno.EPIPE, "closed by the other end")
         room = _WINDOW_BYTES - len(peer._received)
         if room <= 0:
@@ -158,6 +159,15 @@
                 self._peer._wake_writer()
         return part
 
+    def shutdown(self, how: int) -> None:
+        """End the sending direction; `how` is ``SHUT_WR``."""
+        assert how == socket.SHUT_WR
+        if self._is_closed or self._peer is None or self._peer._is_closed:
+            raise OSError(errno.ENOTCONN, "not connected")
+        self._is_shut_down = True
+        self._peer._is_eof = True
+        self._peer._wake_reader()
+
     def close(self) -> None:
         """Close this end; the connection is reset if received bytes were not read."""
         if self._is_closed:
@@ -328,7 +338,9 @@
     with (
         mock.patch.object(stream, "socket", _SocketModule(network)),
         mock.patch.object(
-            tcp, "has_unacknowledged", _wrap_unacknowledged(tcp.has_unacknowledged)
+            tcp,
+            "count_unacknowledged",
+            _wrap_unacknowledged(tcp.count_unacknowledged),
         ),
         mock.patch.object(poller, "make_poller", MemoryPoller),
         mock.patch.object(
@@ -365,14 +377,14 @@
     return wait
 
 
-def _wrap_unacknowledged(original: Callable[[Any], bool]) -> Callable[[Any], bool]:
-    """Return a check for unacknowledged bytes of in-memory sockets and others."""
+def _wrap_unacknowledged(original: Callable[[Any], int]) -> Callable[[Any], int]:
+    """Return a count of unacknowledged bytes of in-memory sockets and others."""
 
-    def has_unacknowledged(sock: Any) -> bool:
+    def count_unacknowledged(sock: Any) -> int:
         # The other end of an in-memory connection has at once what was sent.
-        return not isinstance(sock, MemorySocket) and original(sock)
+        return 0 if isinstance(sock, MemorySocket) else original(sock)
 
-    return has_unacknowledged
+    return count_unacknowledged
 
 
 def _wrap_notify_closing(original: Callable[[Any], None]) -> Callable[[Any], None]:
