Wait in a planned stop until other nodes have received replies

What callers saw: 502 after the server had done its work, if the node beside it stopped as planned and the node of the caller had not read the reply by then.

The stop counted a call as finished once its reply was queued on the link, and the exit dropped the queue and what was not delivered.

Change: the stop also waits for the acknowledgement of replies, until the exit at the latest. Loads and pings do not delay it.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/inbound_links.py
@@ -196,6 +196,10 @@
         link = self._by_node.get(node)
         return float("-inf") if link is None else link.last_received_at
 
+    def has_undelivered_replies(self) -> bool:
+        """Whether a node has not acknowledged the reply to one of its calls."""
+        return any(link.has_undelivered_reply() for link in self._links)
+
     def close_all(self) -> None:
         """Close every link; nodes that still need one reconnect."""
         for link in list(self._links):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
@@ -73,6 +73,7 @@
         self._unsent: list[int] = []
         self._wakeup = trio.Event()
         self._is_writing = False
+        self._has_undelivered_reply = False
         self._reader = FrameReader(self._memory)
         self._compressor: zlib._Compress | None = None
         self._decompressor: zlib._Decompress | None = None
@@ -95,6 +96,8 @@
         """
         if not is_understood(message, self._level):
             return
+        if isinstance(message, Reply):
+            self._has_undelivered_reply = True
         n_queued = len(self._outbox)
         message = self._drop_answer_without_memory(message)
         frame = encode_parts(message, self._level)
@@ -167,6 +170,14 @@
                 _COMPRESSION_LEVEL, zlib.DEFLATED, _WINDOW_BITS, _MEMORY_LEVEL
             )
 
+    def has_undelivered_reply(self) -> bool:
+        """Whether the peer has not acknowledged the last reply."""
+        if self._has_undelivered_reply:
+            is_written = not self._outbox and not self._is_writing
+            is_delivered = is_written and not self._stream.count_unacknowledged()
+            self._has_undelivered_reply = not (is_delivered or self._stream.closed)
+        return self._has_undelivered_reply
+
     def unsent(self) -> frozenset[int]:
         """Return the identifiers of calls of which no byte has been sent."""
         return frozenset(self._unsent)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -662,6 +662,7 @@
                     self._callers.in_progress
                     or self.backend_queue.running
                     or self._callers.delays_exit()
+                    or self._inbound.has_undelivered_replies()
                 ):
                     break
             await trio.sleep(_STOP_POLL_INTERVAL_MS / MS_PER_S)
