Read a link to its end after a failed send

What callers saw: 502 (may have run) for calls whose replies had been received, if their node failed to send on the link before it read them, as happens when the other node ends.

Cause: a failed send closed the link at once, with unread replies in the socket.

Change: the link is read for up to 0.1 s more, until its end. Calls that are submitted meanwhile count as not sent, as before.

Evidence: test_failed_send_does_not_drop_received_messages fails on the code before with [] for two messages, and passes now.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/link.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap_node.core.mesh.body_memory import BodyMemory
 from fuchsiagap_node.core.mesh.frames import (
     BadFrame,
@@ -36,6 +37,9 @@
 _COMPRESSION_LEVEL = 1
 _WINDOW_BITS = 12
 _MEMORY_LEVEL = 5
+# Maximum milliseconds for which a link is read after a failed send. The peer may have
+# sent replies before it closed the connection.
+_READ_REST_MS = 100.0
 
 
 class FramedLink:
@@ -73,6 +77,7 @@
         self._unsent: list[int] = []
         self._wakeup = trio.Event()
         self._is_writing = False
+        self._has_failed = False
         self._has_undelivered_reply = False
         self._reader = FrameReader(self._memory)
         self._compressor: zlib._Compress | None = None
@@ -101,7 +106,8 @@
         n_queued = len(self._outbox)
         message = self._drop_answer_without_memory(message)
         frame = encode_parts(message, self._level)
-        if self._compressor is None and not self._outbox and not self._is_writing:
+        is_direct = not (self._compressor or self._is_writing or self._has_failed)
+        if is_direct and not self._outbox:
             self._send_now(frame, call_id)
             self._hold(message, n_queued)
             return
@@ -140,9 +146,10 @@
         try:
             rest = self._stream.send_parts(frame)
         except BrokenStream:
-            # Nothing of it was sent; the reader notices the closed connection.
+            # Nothing of it was sent.
             self._unsent.append(call_id)
-            self._stream.close()
+            self._has_failed = True
+            self._wakeup.set()
             return
         if rest:
             self._outbox += rest
@@ -209,6 +216,7 @@
         try:
             await self._write()
         except BrokenStream:
+            await self._read_rest()
             if self._end_reason is None:
                 raise
         assert self._end_reason is not None
@@ -231,11 +239,20 @@
             await self._wakeup.wait()
             if self._end_reason is not None:
                 return
+            if self._has_failed:
+                raise BrokenStream("a send failed")
             self._wakeup = trio.Event()
             self._is_writing = True
             await self._send_queued()
             self._is_writing = False
 
+    async def _read_rest(self) -> None:
+        """Read what the peer sent before the connection broke."""
+        with trio.move_on_after(_READ_REST_MS / MS_PER_S):
+            while self._end_reason is None:
+                self._wakeup = trio.Event()
+                await self._wakeup.wait()
+
     async def _send_queued(self) -> None:
         """Send the queued frames.
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_link_close.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_link_close.py
@@ -1,8 +1,16 @@
-"""Replies on links that end by a planned stop."""
+"""Replies on links that end: by a planned stop, and while the other end sends."""
+
+import socket
 
 import trio
 from testtools import TestCase
 
+from fuchsiagap.core.clock import trio_clock
+from fuchsiagap_node.core.mesh.frames import encode
+from fuchsiagap_node.core.mesh.link import FramedLink
+from fuchsiagap_node.core.mesh.messages import Ping, Pong
+from fuchsiagap_node.core.mesh.poller import EpollPoller
+from fuchsiagap_node.core.mesh.stream import BrokenStream, Stream
 from fuchsiagap_standins.mesh.backend_server import Behaviour
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route
 from fuchsiagap_standins.mesh.virtual import run_on_loopback
@@ -47,3 +55,37 @@
     stream.pause()
     await trio.sleep(0.5)
     stream.resume()
+
+
+class TestFailedSend(TestCase):
+    def test_failed_send_does_not_drop_received_messages(self):
+        async def main():
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                near = socket.create_connection(listener.getsockname())
+                far, _ = listener.accept()
+            stream, poller, received = Stream(near), EpollPoller(), []
+            link = FramedLink(stream, trio_clock())
+
+            async def serve():
+                try:
+                    await link.serve(poller, received.append)
+                except BrokenStream:
+                    return
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(poller.run)
+                nursery.start_soon(serve)
+                await trio.sleep(0.01)
+                stream.pause()
+                link.post(Ping())
+                far.sendall(encode(Pong()) * 2)
+                # Resets the connection, as the ping has not been read.
+                far.close()
+                link.post(Ping())
+                stream.resume()
+                await trio.sleep(0.05)
+                nursery.cancel_scope.cancel()
+            link.close()
+            return received
+
+        self.assertEqual([Pong(), Pong()], trio.run(main))
