Close connections of auxiliary listeners once their responses are read

What callers saw: a server whose connection carried anything behind a closing request could lose the acknowledgement of its report, a client of the metrics a large page; a malformed request got no answer at all.

Cause: as for connections of callers, `serve_auxiliary` closed the socket with input unread or on its way, which resets it.

Change: the end of stream is sent, and input discarded until the client closes or 5 s have passed. A malformed request is answered with its status first.

Evidence: test_auxiliary_http.test_last_response_is_not_reset_by_input_behind_its_request fails on the code before with ConnectionResetError, and passes now.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING, TypeAlias
 
 import trio
@@ -9,6 +10,8 @@
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.routes.model import CallerLimits
 from fuchsiagap_node.core.mesh.callers import encode_response
+from fuchsiagap_node.core.mesh.final_response import FinalResponse
+from fuchsiagap_node.core.mesh.graceful_close import END_TIMEOUT_MS
 from fuchsiagap_node.core.mesh.http_request import BadRequest, RequestReader
 from fuchsiagap_node.core.mesh.stream import BrokenStream, accept_all, listen
 
@@ -16,7 +19,6 @@
     from collections.abc import Awaitable, Callable
 
     from fuchsiagap_node.core.mesh.event_log import EventLog
-    from fuchsiagap_node.core.mesh.final_response import FinalResponse
     from fuchsiagap_node.core.mesh.http_names import HeaderNames
     from fuchsiagap_node.core.mesh.http_request import Request
     from fuchsiagap_node.core.mesh.stream import Stream
@@ -49,10 +51,12 @@
         reader = RequestReader(names, _LIMITS)
         try:
             await _serve(stream, handle, reader)
+            await stream.close_gracefully(END_TIMEOUT_MS)
         except BrokenStream:
             pass
         except BadRequest as exc:
             event_log.event("bad-request", address=address, cause=exc.detail)
+            await _reject(stream, exc)
         except Exception as exc:
             event_log.log_exception("side-http", exc)
         finally:
@@ -63,6 +67,13 @@
         await accept_all(listen(address), serve, nursery)
 
 
+async def _reject(stream: Stream, exc: BadRequest) -> None:
+    """Answer a malformed request and close the connection."""
+    with contextlib.suppress(BrokenStream):
+        await stream.send(encode_response(FinalResponse(exc.status), close=True))
+        await stream.close_gracefully(END_TIMEOUT_MS)
+
+
 async def _serve(stream: Stream, handle: Handle, reader: RequestReader) -> None:
     while True:
         data = b""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/graceful_close.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/graceful_close.py
@@ -15,7 +15,7 @@
     from fuchsiagap_node.core.mesh.stream import Stream
 
 # Milliseconds that a peer has to close its end after it has acknowledged all data.
-_END_TIMEOUT_MS = 5_000.0
+END_TIMEOUT_MS = 5_000.0
 # Milliseconds after the last acknowledgement, or the last use of the connection, for
 # which an exit of the process waits: the peer may still read from its own buffer.
 _READ_TIMEOUT_MS = 2_000.0
@@ -61,7 +61,7 @@
         self._update(now)
         wait = idle_timeout
         if not self._n_unacknowledged:
-            wait = min(idle_timeout, _END_TIMEOUT_MS)
+            wait = min(idle_timeout, END_TIMEOUT_MS)
         return now - max(self._began_at, self._progressed_at) > wait
 
     def delays_exit(self, now: Milliseconds) -> bool:
