Close callers' connections of the other path once responses are read

What callers saw: a response of 300,000 bytes was reset if the caller sent anything behind a closing request while it read.

Cause: as on the mesh path, `http_server` closed the socket after the last response.

Change: the end of stream is sent, and input discarded until the caller closes or 5 s have passed; the connection counts as open meanwhile, so that a drain waits for it.

Evidence: test_http_server.TestClose fails on the code before with BrokenResourceError (connection reset by peer), and passes now.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_server.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_server.py
@@ -29,6 +29,8 @@
 _HEAD_TIMEOUT_S = 30.0
 # Limits each wait for more data of a body.
 _BODY_IDLE_TIMEOUT_S = 20.0
+# Limits the wait for a caller to close its end after the last response.
+_CLOSE_TIMEOUT_S = 5.0
 # Limits the time for a whole body, unless its request has a later deadline.
 BODY_TIMEOUT_S = 300.0
 _VERSIONS = (b"1.0", b"1.1")
@@ -188,6 +190,23 @@
                 self.buffer_drained = trio.Event()
                 await self.buffer_drained.wait()
 
+    async def close(self) -> None:
+        """Send an end of stream, and wait for that of the caller.
+
+        Input at a closed socket resets the connection, on which the caller may lose
+        the last response. It is therefore read and discarded meanwhile.
+        """
+        if self.input_ended:
+            return
+        self.cfg.add_open_requests(1)
+        try:
+            with trio.move_on_after(_CLOSE_TIMEOUT_S):
+                await self.stream.send_eof()
+                while await self.stream.receive_some(_READ_BYTES):
+                    pass
+        finally:
+            self.cfg.add_open_requests(-1)
+
     async def next_event(
         self,
         timeout: float,
@@ -262,11 +281,13 @@
     http = h11.Connection(h11.SERVER, max_incomplete_event_size=cfg.header_bytes)
     conn = _Connection(stream, cfg, http)
     try:
-        async with stream, trio.open_nursery() as nursery:
-            nursery.start_soon(conn.read_ahead)
-            while await _serve_request(conn, handle, handle_error):
-                pass
-            nursery.cancel_scope.cancel()
+        async with stream:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(conn.read_ahead)
+                while await _serve_request(conn, handle, handle_error):
+                    pass
+                nursery.cancel_scope.cancel()
+            await conn.close()
     except* (trio.BrokenResourceError, trio.ClosedResourceError):
         # The caller disconnected, so no response can be sent.
         pass
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_http_server.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import Counter
 from contextlib import suppress
 from dataclasses import replace
@@ -342,3 +343,36 @@
             self.assertTrue(received.endswith(b"/ok"), received)
 
         self._run(scenario)
+
+
+class TestClose(TestCase):
+    def test_last_response_is_not_reset_by_input_behind_its_request(self):
+        async def handle(_):
+            return HttpResponse(200, [], b"x" * 300_000)
+
+        async def main():
+            cfg = HttpServerSettings(
+                _HEADER_BYTES, _BODY_BYTES, _reserve_any, lambda _: None
+            )
+            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    http_server.serve_http, listener, cfg, handle, lambda _: None
+                )
+                sock = socket.socket()
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+                sock.connect(listener.socket.getsockname())
+                sock.setblocking(False)
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+                closing = b"GET /ok HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+                await stream.send_all(closing)
+                data = b""
+                async for part in stream:
+                    data += part
+                    await trio.sleep(0.002)
+                    if len(data) < 300_000:
+                        await stream.send_all(b"\r\n")
+                nursery.cancel_scope.cancel()
+            return len(data.partition(b"\r\n\r\n")[2])
+
+        self.assertEqual(300_000, trio.run(main))
