Handle the requests that were read before a malformed one

What callers saw: 400 for a valid request, if it was read together with requests behind a closing one, or with a malformed one.

Cause: the error of the parser replaced the requests that it had completed in the same read.

Change: they are returned, and the error is kept for after them (`RequestReader.rejected`).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
@@ -85,3 +85,5 @@
             await stream.send(encode_response(await handle(req), not req.keep_alive))
             if not req.keep_alive:
                 return
+        if reader.rejected is not None:
+            raise reader.rejected
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -346,6 +346,9 @@
                 self._listener.memory.release(req.n_held)
             else:
                 self._start(req)
+        if self._reader.rejected is not None and not self._ignores_input:
+            self._reject(self._reader.rejected)
+            return
         if (
             self._reader.wants_continue
             and self._reader.in_message
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_request.py
@@ -99,6 +99,8 @@
         Whether the caller waits for ``100 Continue`` before it sends the body.
     in_message : bool
         Whether a request has begun and is not complete.
+    rejected : BadRequest or None
+        Error in the data behind the last completed requests.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         self._has_progress = False
         self.wants_continue = False
         self.in_message = False
+        self.rejected: BadRequest | None = None
         self._reset()
 
     def _reset(self) -> None:
@@ -168,8 +171,21 @@
         Raises
         ------
         BadRequest
-            If the data is not a valid request; the connection has to be closed.
+            If the data is not a valid request; the connection has to be closed. If
+            requests are complete before it, they are returned and `rejected` is set.
         """
+        if self.rejected is not None:
+            raise self.rejected
+        try:
+            self._parse(data)
+        except BadRequest as exc:
+            if not self._completed:
+                raise
+            self.rejected = exc
+        completed, self._completed = self._completed, []
+        return completed
+
+    def _parse(self, data: bytes) -> None:
         if self._has_progress:
             self._n_pending, self._has_progress = 0, False
         try:
@@ -184,8 +200,6 @@
             ) from None
         if self._error is not None:
             raise self._error
-        completed, self._completed = self._completed, []
-        return completed
 
     def _check_pending(self, n_bytes: int) -> None:
         """Fail if a part is too long that the parser has not completed yet."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_callers.py
@@ -76,6 +76,18 @@
             self.assertEqual(400, answer.status, data)
             self.assertEqual([], heads)
 
+    def test_request_is_not_rejected_for_the_data_that_is_read_with_it(self):
+        hidden = request_bytes("/read/2", "r2")
+        closing = request_bytes("/read/1", "r1", headers={"Connection": "close"})
+        for data in (
+            closing + hidden,
+            closing.replace(b"HTTP/1.1", b"HTTP/1.0") + hidden,
+            request_bytes("/read/1", "r1") + b"no request at all\r\n\r\n",
+        ):
+            answer, heads = send_parts(data)
+            self.assertEqual(200, answer.status, data)
+            self.assertEqual([b"/read/1"], [head.target for head in heads])
+
     def test_pipelined_request_is_not_part_of_the_body_before_it(self):
         hidden = request_bytes("/read/2", "r2")
         data = request_bytes("/read/1", "r1", method="POST", body=b"abc")
