Keep acknowledged departures over the loss of all nodes

The store had been down at the acknowledgement, all nodes were killed, and one late heartbeat made the server used again.

Cause: an acknowledgement relied on the memory of three processes even if the store would have answered milliseconds later, and a node that had started believed one heartbeat once it had read the store, which cannot hold a departure that was never written.

Change: the acknowledgement waits for the store, and relies on the receipts of two other nodes only without it, as a data centre that is cut off has to release its servers. A node that has started uses a server only once two heartbeats, half an interval or more apart, show that it is alive (`backend-confirmed`); a server that has left sends no second one.

Tests that asked for something else: one heartbeat was to be enough once the store can be read, which is the fault; test_one_heartbeat_is_not_enough_after_a_restart takes its place. A departure that was answered 503 is now forgotten by nobody after one late heartbeat either (False for True). TestStatedDeparture looks one heartbeat later after a restart of the node, with its bound unchanged: the server is used from its second heartbeat on by design.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -10,6 +10,7 @@
 from fuchsiagap.core.backend_queue.abort_rule import MAX_ABANDONED_MS, may_finish
 from fuchsiagap.core.backend_queue.health import ServerHealth
 from fuchsiagap.core.backend_queue.incarnation import (
+    MAX_REPORT_DELAY_MS,
     BackendReport,
     BackendState,
     IncarnationTracker,
@@ -72,6 +73,9 @@
 # Milliseconds past the deadline of a call for which the server's answer is still
 # awaited, since the server may be sending its own time-out response.
 _ANSWER_GRACE_MS = 80.0
+# Share of the interval between heartbeats by which two of them have to be apart to
+# show that a server is alive. Delayed heartbeats may arrive together.
+_MIN_SPACING = 0.5
 # Service time assumed for a server that names a limit while its own is not known.
 _ASSUMED_SERVICE_MS = 100.0
 # Time constant of the arrival rate at a server that names a limit. At 33 requests per
@@ -105,10 +109,10 @@
         Retry budget of this queue, which admits or denies retries.
     leaving : bool
         Whether this node is shutting down and accepts no new calls.
-    knows_departures : bool
-        Whether the departures that an earlier process of this node recorded are known.
-        If not, a server is used only from its second heartbeat on, as one may have been
-        sent before its departure.
+    is_first_process : bool
+        Whether no earlier process of this node can have acknowledged a departure. If
+        not, a server is used only once a second heartbeat shows that it is alive, as
+        one may have been sent before its departure.
     rank_stats : RankStats
         Arrivals and starts of each rank.
     changed : callable
@@ -173,7 +177,10 @@
         self._long_term_service_ms = 0.0
         self._n_long_term_samples = 0
         self.leaving = False
-        self.knows_departures = True
+        self.is_first_process = True
+        # Time of the first report of the current incarnation.
+        self._first_report_at = clock.now()
+        self._was_confirmed = False
         self._abandoned: dict[PendingCall, Milliseconds] = {}
         self.controls_contention: Callable[[], bool] = bool
         self.changed: Callable[[], None] = _nothing
@@ -320,10 +327,34 @@
         usable = (
             self._health.is_usable(self._clock.now(), heartbeat)
             and self.notices.accepts_requests
-            and (self.knows_departures or self._health.has_reported_twice)
+            and self._is_confirmed()
         )
         return report.instance if usable else ""
 
+    def _is_confirmed(self) -> bool:
+        """Whether heartbeats show that a server is alive since this process runs.
+
+        Neither other nodes nor the store have a departure for certain that an earlier
+        process of this node acknowledged, as all may have been down together.
+        """
+        if self._was_confirmed:
+            return True
+        now = self._clock.now()
+        uptime = now - self._started_at
+        spacing = now - self._health.heartbeat_age(now) - self._first_report_at
+        self._was_confirmed = (
+            self.is_first_process
+            or uptime > MAX_REPORT_DELAY_MS
+            or spacing >= _MIN_SPACING * self._cfg.bounds.heartbeat
+        )
+        if self._was_confirmed and not self.is_first_process:
+            self._event_log.event(
+                "backend-confirmed",
+                instance=self.known_instance(),
+                uptime=round(uptime),
+            )
+        return self._was_confirmed
+
     def known_instance(self) -> str:
         """Return the last reported incarnation, whatever its state; empty if none."""
         report = self._incarnation.report
@@ -412,6 +443,7 @@
         self, old: BackendReport | None, report: BackendReport
     ) -> None:
         """Reset the measurements of the earlier incarnation."""
+        self._first_report_at = self._clock.now()
         self._health.forget_failures()
         self._begin_statements(report.instance)
         self._n_long_term_samples = 0
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -302,7 +302,7 @@
         departures.on_restored = self.backend_queue.restore_departure
         departures.on_changed = self._members.store_departures
         self._members.on_departures = self._restore_departures
-        self.backend_queue.knows_departures = cfg.first_start
+        self.backend_queue.is_first_process = cfg.first_start
         self.backend_queue.on_departure = departures.announce
         self._inbound.on_departure = departures.handle_departure
         self._inbound.on_departure_receipt = departures.handle_receipt
@@ -356,9 +356,6 @@
         """Apply the departures that an earlier process of this node has stored."""
         for departure in departures:
             self._departures.restore(departure, "store")
-        if not self.backend_queue.knows_departures:
-            self.backend_queue.knows_departures = True
-            self._send_status()
 
     def _handle_peer_status(self, link: OutboundLink) -> None:
         """Process the status of another node and of its backend server."""
@@ -544,9 +541,9 @@
         if report.state is not BackendState.READY:
             if not self.backend_queue.has_departed(report):
                 return _text_response(409, f"{report.instance}: a later start is known")
-            # This process may end at any time after the acknowledgement.
-            is_kept = await self._departures.wait_until_received()
-            if not is_kept and not await self._members.wait_until_stored():
+            # All processes may end at any time after the acknowledgement.
+            is_kept = await self._members.wait_until_stored()
+            if not is_kept and not await self._departures.wait_until_received():
                 return _text_response(503, f"{report.instance}: not confirmed yet")
         return FinalResponse(
             200, headers=b"Content-Type: application/json\r\n", body=b"{}"
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -200,23 +200,28 @@
         heartbeat_s = found.leaving.node.cfg.bounds.heartbeat / 1_000.0
         self.assertLess(last, 1.5 + 2.0 * heartbeat_s + 0.5)
 
-    def test_one_heartbeat_is_not_enough_while_departures_cannot_be_read(self):
-        async def main(is_down):
+    def test_one_heartbeat_is_not_enough_after_a_restart(self):
+        async def main(is_down, first_start):
             async with a_deployment(a_route("read")) as deployment:
-                host = deployment.add("certs")
+                host = deployment.add("certs", first_start=first_start)
                 await deployment.settle()
                 host.departed = host.server.instance
                 host.store.down = is_down
                 host = deployment.restart(host)
                 await trio.sleep(1.0)
                 found = []
-                for _ in range(2):
+                # The first two arrive together, as delayed ones may.
+                for pause_s in (0.0, 0.8, 0.0):
                     host.node.backend_queue.handle_report(host.next_report())
                     found.append(bool(host.node.backend_queue.instance()))
+                    await trio.sleep(pause_s)
                 return found
 
-        self.assertEqual([True, True], run_in_memory(partial(main, is_down=False)))
-        self.assertEqual([False, True], run_in_memory(partial(main, is_down=True)))
+        for is_down in (False, True):
+            found = run_in_memory(partial(main, is_down, False))
+            self.assertEqual([False, False, True], found)
+        found = run_in_memory(partial(main, False, True))
+        self.assertEqual([True, True, True], found)
 
     def test_departure_that_another_node_acknowledged_is_in_force(self):
         async def main(state):
@@ -278,6 +283,9 @@
                 server.behave = lambda _: Behaviour()
                 leaving.born, leaving.sequence = 2_000, 0
                 leaving.report()
+                if restarts_node:
+                    # The node uses no server after its first heartbeat.
+                    await trio.sleep(1.0)
                 found.append(await self.count_runs(server, hosts[1]))
                 return found
 
@@ -350,7 +358,7 @@
 
         for state in (DRAINING, GONE):
             alone = run_in_memory(partial(main, state, True))
-            self.assertEqual((503, False, True), alone, state)
+            self.assertEqual((503, False, False), alone, state)
             linked = run_in_memory(partial(main, state, False))
             self.assertEqual((200, False, False), linked, state)
 
@@ -379,6 +387,49 @@
         self.assertEqual(503, run_in_memory(partial(main, 2))[0])
         self.assertEqual((200, False), run_in_memory(partial(main, 4)))
 
+    def test_acknowledged_departure_is_in_the_store_that_answers(self):
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                hosts = [deployment.add("certs") for _ in range(4)]
+                await deployment.settle()
+                register = hosts[0].store.register
+
+                async def register_slowly(*args):
+                    await trio.sleep(0.05)
+                    return await register(*args)
+
+                hosts[0].store.register = register_slowly
+                status = await report(hosts[0], GONE)
+                members = deployment.state.members
+                stored = members[hosts[0].node.cfg.node].departures
+                return status, [departure.instance for departure in stored]
+
+        self.assertEqual((200, ["i-certs-0"]), run_in_memory(main))
+
+    def test_departure_outlasts_all_nodes_at_once_while_the_store_is_silent(self):
+        async def main(state):
+            async with a_deployment(a_route("read")) as deployment:
+                hosts = [deployment.add("certs") for _ in range(4)]
+                await deployment.settle()
+                leaving = hosts[0]
+                leaving.departed = leaving.server.instance
+                late_heartbeat = leaving.next_report()
+                for host in hosts:
+                    host.store.down = True
+                status = await report(leaving, state)
+                restarted = [deployment.restart(host) for host in hosts]
+                await trio.sleep(0.7)
+                for host in hosts:
+                    host.store.down = False
+                await trio.sleep(3.0)
+                queue = restarted[0].node.backend_queue
+                queue.handle_report(late_heartbeat)
+                return status, bool(queue.instance())
+
+        for state in (DRAINING, GONE):
+            found = run_in_memory(partial(main, state))
+            self.assertEqual((200, False), found, state)
+
     def acknowledge(self, n_nodes, confirms):
         """Return the milliseconds that an acknowledgement waits, and what was sent."""
 
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/health.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/health.py
@@ -110,11 +110,6 @@
         """Return the milliseconds since the last heartbeat, or since creation."""
         return now - self._heartbeat_at
 
-    @property
-    def has_reported_twice(self) -> bool:
-        """Whether more than one heartbeat has been received."""
-        return self._n_heartbeats > 1
-
     def is_usable(self, now: Milliseconds, heartbeat: Milliseconds) -> bool:
         """Whether the server is alive and accepts connections.
 
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/incarnation.py
@@ -19,7 +19,7 @@
 # if they do, the next heartbeat of the running incarnation corrects the mistake.
 _EARLIER_START_REPORTS = 3
 # Maximum milliseconds by which a report is assumed to be delayed.
-_MAX_REPORT_DELAY_MS = 10_000.0
+MAX_REPORT_DELAY_MS = 10_000.0
 # Number of heartbeats, received after a departure that was announced without a start
 # time, that show that an earlier incarnation of the same identifier announced it. One
 # or two may have been delayed and stem from the departed incarnation itself.
@@ -236,7 +236,7 @@
         """Whether reports of starts before a departed one may still be delayed."""
         left_for = self._clock.now() - self._left_at
         return (
-            current.state is not BackendState.READY and left_for < _MAX_REPORT_DELAY_MS
+            current.state is not BackendState.READY and left_for < MAX_REPORT_DELAY_MS
         )
 
     def _apply_in_order(self, report: BackendReport) -> bool:
