Reject responses of versions other than HTTP/1.0 and HTTP/1.1

What callers saw: the body of a response with the status line `HTTP/2.0 200 OK` as the answer.

Cause: the parsers accept further versions (`httptools` 0.9 and 2.0, `h11` any two digits), and nothing looked at the version.

Change: such a response is malformed, on both paths.

Evidence: test_response_of_another_version_is_malformed and test_response_of_another_version fail on the code before with a response of status 200 for HTTP/0.9, and pass now.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/edges/http_client.py
@@ -26,6 +26,8 @@
 _CONNECT_TIMEOUT_S = 1.0
 # Maximum number of informational responses (1xx) ahead of a final one.
 _MAX_INFORMATIONAL = 32
+# `h11` accepts any version of two digits.
+_VERSIONS = (b"1.0", b"1.1")
 # Largest HTTP status (RFC 9110, 15); `h11` accepts any of three digits.
 _MAX_STATUS = 599
 
@@ -258,6 +260,9 @@
                     return ResponseTooLarge(self.body_bytes)
                 body += event.data
             elif isinstance(event, h11.Response):
+                if event.http_version not in _VERSIONS:
+                    version = event.http_version.decode("latin-1")
+                    return NoResponse(f"response of HTTP/{version}")
                 if event.status_code > _MAX_STATUS:
                     return NoResponse(f"response with status {event.status_code}")
                 head = event
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/http_response.py
@@ -28,6 +28,9 @@
 _MIN_STATUS, _MAX_STATUS = 100, 599
 _SWITCHING_PROTOCOLS = 101
 
+# Versions whose messages have the framing that this parser reads.
+_VERSIONS = ("1.0", "1.1")
+
 # Share of the memory for bodies that a body of unknown length may take.
 _MAX_UNSTATED_SHARE = 0.5
 
@@ -332,6 +335,11 @@
         if b"HTTP/" in text and _STATUS_LINE.search(text):
             self._fail("status line within the head of a response")
 
+    def _check_version(self, version: str) -> None:
+        """Fail if a response is not one of HTTP/1.0 or HTTP/1.1."""
+        if version not in _VERSIONS:
+            self._fail(f"response of HTTP/{version}, expected HTTP/1.0 or HTTP/1.1")
+
     def _check_status(self, status: int) -> None:
         """Fail if a response has a status that no response to a request here has."""
         if not _MIN_STATUS <= status <= _MAX_STATUS or status == _SWITCHING_PROTOCOLS:
@@ -347,6 +355,7 @@
     def on_headers_complete(self) -> None:
         """Mark the head as complete, and reserve memory for the whole body."""
         self._has_progress = True
+        self._check_version(self._parser.get_http_version())
         self._check_status(self._parser.get_status_code())
         self._headers = b"".join(self._lines)
         if _CONTROL_BYTE.search(self._reason):
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
@@ -133,6 +133,11 @@
             reply = f"HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok".encode()
             self._expect(reply, Unknown, Reason.CONNECTION_LOST)
 
+    def test_response_of_another_version(self) -> None:
+        for version in ("0.9", "1.2", "2.0", "9.9"):
+            reply = f"HTTP/{version} 200 OK\r\ncontent-length: 2\r\n\r\nok".encode()
+            self._expect(reply, Unknown, Reason.CONNECTION_LOST)
+
     def test_response_above_the_size_limit(self) -> None:
         reply = b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n" + b"x" * 2000
         self._expect(reply, Unknown, Reason.TOO_LARGE)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_response.py
@@ -56,6 +56,16 @@
         self.assertNotIn(NAMES.not_run, response.headers)
 
 
+class TestVersions(TestCase):
+    def test_response_of_another_version_is_malformed(self):
+        response = b"HTTP/%s 200 OK\r\nCall-Id: new\r\nContent-Length: 2\r\n\r\nok"
+        for version in (b"0.9", b"1.2", b"2.0", b"3.0", b"9.9", b"11"):
+            self.assertIsNone(read(response % version), version)
+        for version in (b"1.0", b"1.1"):
+            (found,) = read(response % version)
+            self.assertEqual(200, found.status)
+
+
 class TestStatuses(TestCase):
     def test_status_outside_of_the_range_of_http_is_malformed(self):
         response = b"HTTP/1.1 %03d X\r\nCall-Id: new\r\nContent-Length: 2\r\n\r\nok"
