Test that a response that ends in its head is no answer

A report on other systems: a server stopped in the middle of the head of its response, and clients got 200 with an empty or short body.

Before, single cuts had tests only.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/edges/test_backend_http.py
@@ -133,6 +133,11 @@
             reply = f"HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\nok".encode()
             self._expect(reply, Unknown, Reason.CONNECTION_LOST)
 
+    def test_response_that_ends_in_its_head(self) -> None:
+        head = _OK.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+        for n_bytes in range(0, len(head), 3):
+            self._expect(head[:n_bytes], Unknown, Reason.CONNECTION_LOST)
+
     def test_response_of_another_version(self) -> None:
         for version in ("0.9", "1.2", "2.0", "9.9"):
             reply = f"HTTP/{version} 200 OK\r\ncontent-length: 2\r\n\r\nok".encode()
