Use servers after one heartbeat for the drain bound after a start

Cause: the second heartbeat was asked for from the start on.

Change: it is asked for from `drain` (2 s) after the start on. Until then one is enough once departures have been read, as it was; requests may follow any acknowledgement for that long.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -111,8 +111,11 @@
         Whether this node is shutting down and accepts no new calls.
     is_first_process : bool
         Whether no earlier process of this node can have acknowledged a departure. If
-        not, a server is used only once a second heartbeat shows that it is alive, as
-        one may have been sent before its departure.
+        not, a second heartbeat has to show that a server is alive, as one may have been
+        sent before its departure.
+    knows_departures : bool
+        Whether the departures that an earlier process of this node stored are known. If
+        not, a server is not used before its second heartbeat.
     rank_stats : RankStats
         Arrivals and starts of each rank.
     changed : callable
@@ -178,6 +181,7 @@
         self._n_long_term_samples = 0
         self.leaving = False
         self.is_first_process = True
+        self.knows_departures = True
         # Time of the first report of the current incarnation.
         self._first_report_at = clock.now()
         self._was_confirmed = False
@@ -327,7 +331,7 @@
         usable = (
             self._health.is_usable(self._clock.now(), heartbeat)
             and self.notices.accepts_requests
-            and self._is_confirmed()
+            and (self._is_confirmed() or self._is_used_unconfirmed())
         )
         return report.instance if usable else ""
 
@@ -355,6 +359,16 @@
             )
         return self._was_confirmed
 
+    def _is_used_unconfirmed(self) -> bool:
+        """Whether one heartbeat is enough for now.
+
+        A server that left while an earlier process ran may get requests for as long as
+        after any acknowledgement. Otherwise no server would be in use for a whole
+        interval between heartbeats after a restart of all nodes.
+        """
+        uptime = self._clock.now() - self._started_at
+        return self.knows_departures and uptime < self._cfg.bounds.drain
+
     def known_instance(self) -> str:
         """Return the last reported incarnation, whatever its state; empty if none."""
         report = self._incarnation.report
