Move the encoding of final responses to a module of its own

Moved without a change: encode_response, encode_head and the reason phrases, from `callers` to `response_encoding`.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/auxiliary_http.py
@@ -9,10 +9,10 @@
 
 from fuchsiagap.core.clock import MS_PER_S
 from fuchsiagap.core.routes.model import CallerLimits
-from fuchsiagap_node.core.mesh.callers import encode_response
 from fuchsiagap_node.core.mesh.final_response import FinalResponse
 from fuchsiagap_node.core.mesh.graceful_close import END_TIMEOUT_MS
 from fuchsiagap_node.core.mesh.http_request import BadRequest, RequestReader
+from fuchsiagap_node.core.mesh.response_encoding import encode_response
 from fuchsiagap_node.core.mesh.stream import BrokenStream, accept_all, listen
 
 if TYPE_CHECKING:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_client.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_http_client.py
@@ -9,11 +9,11 @@
 from testtools import TestCase
 
 from fuchsiagap.core.routes.model import CallerLimits
-from fuchsiagap_node.core.mesh.callers import encode_response
 from fuchsiagap_node.core.mesh.final_response import FinalResponse
 from fuchsiagap_node.core.mesh.http_client import CallFailed, HttpClient
 from fuchsiagap_node.core.mesh.http_names import HeaderNames
 from fuchsiagap_node.core.mesh.http_request import RequestReader
+from fuchsiagap_node.core.mesh.response_encoding import encode_response
 from fuchsiagap_node.core.mesh.stream import accept_all, listen
 from fuchsiagap_standins.mesh.backend_server import (
     ENDLESS_RESPONSES,
