--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -8,9 +8,9 @@
 import trio
 
 from fuchsiagap.core.backend_queue.abort_rule import MAX_ABANDONED_MS, may_finish
+from fuchsiagap.core.backend_queue.confirmation import Confirmation
 from fuchsiagap.core.backend_queue.health import ServerHealth
 from fuchsiagap.core.backend_queue.incarnation import (
-    MAX_REPORT_DELAY_MS,
     BackendReport,
     BackendState,
     IncarnationTracker,
@@ -73,9 +73,6 @@
 # Milliseconds past the deadline of a call for which the server's answer is still
 # awaited, since the server may be sending its own time-out response.
 _ANSWER_GRACE_MS = 80.0
-# Share of the interval between heartbeats by which two of them have to be apart to
-# show that a server is alive. Delayed heartbeats may arrive together.
-_MIN_SPACING = 0.5
 # Service time assumed for a server that names a limit while its own is not known.
 _ASSUMED_SERVICE_MS = 100.0
 # Time constant of the arrival rate at a server that names a limit. At 33 requests per
@@ -109,13 +106,8 @@
         Retry budget of this queue, which admits or denies retries.
     leaving : bool
         Whether this node is shutting down and accepts no new calls.
-    is_first_process : bool
-        Whether no earlier process of this node can have acknowledged a departure. If
-        not, a second heartbeat has to show that a server is alive, as one may have been
-        sent before its departure.
-    knows_departures : bool
-        Whether the departures that an earlier process of this node stored are known. If
-        not, a server is not used before its second heartbeat.
+    confirmation : Confirmation
+        Whether the server is known to be alive since this process runs.
     rank_stats : RankStats
         Arrivals and starts of each rank.
     changed : callable
@@ -180,11 +172,7 @@
         self._long_term_service_ms = 0.0
         self._n_long_term_samples = 0
         self.leaving = False
-        self.is_first_process = True
-        self.knows_departures = True
-        # Time of the first report of the current incarnation.
-        self._first_report_at = clock.now()
-        self._was_confirmed = False
+        self.confirmation = Confirmation(clock.now())
         self._abandoned: dict[PendingCall, Milliseconds] = {}
         self.controls_contention: Callable[[], bool] = bool
         self.changed: Callable[[], None] = _nothing
@@ -331,43 +319,26 @@
         usable = (
             self._health.is_usable(self._clock.now(), heartbeat)
             and self.notices.accepts_requests
-            and (self._is_confirmed() or self._is_used_unconfirmed())
+            and self._may_be_used()
         )
         return report.instance if usable else ""
 
-    def _is_confirmed(self) -> bool:
-        """Whether heartbeats show that a server is alive since this process runs.
-
-        Neither other nodes nor the store have a departure for certain that an earlier
-        process of this node acknowledged, as all may have been down together.
-        """
-        if self._was_confirmed:
+    def _may_be_used(self) -> bool:
+        """Whether heartbeats show that the server has not left; see `Confirmation`."""
+        confirmation = self.confirmation
+        if confirmation.is_confirmed:
             return True
         now = self._clock.now()
-        uptime = now - self._started_at
-        spacing = now - self._health.heartbeat_age(now) - self._first_report_at
-        self._was_confirmed = (
-            self.is_first_process
-            or uptime > MAX_REPORT_DELAY_MS
-            or spacing >= _MIN_SPACING * self._cfg.bounds.heartbeat
-        )
-        if self._was_confirmed and not self.is_first_process:
+        bounds = self._cfg.bounds
+        age = self._health.heartbeat_age(now)
+        is_allowed = confirmation.allows_use(now, age, bounds.heartbeat, bounds.drain)
+        if confirmation.is_confirmed and not confirmation.is_first_process:
             self._event_log.event(
                 "backend-confirmed",
                 instance=self.known_instance(),
-                uptime=round(uptime),
+                uptime=round(now - self._started_at),
             )
-        return self._was_confirmed
-
-    def _is_used_unconfirmed(self) -> bool:
-        """Whether one heartbeat is enough for now.
-
-        A server that left while an earlier process ran may get requests for as long as
-        after any acknowledgement. Otherwise no server would be in use for a whole
-        interval between heartbeats after a restart of all nodes.
-        """
-        uptime = self._clock.now() - self._started_at
-        return self.knows_departures and uptime < self._cfg.bounds.drain
+        return is_allowed
 
     def known_instance(self) -> str:
         """Return the last reported incarnation, whatever its state; empty if none."""
@@ -457,7 +428,7 @@
         self, old: BackendReport | None, report: BackendReport
     ) -> None:
         """Reset the measurements of the earlier incarnation."""
-        self._first_report_at = self._clock.now()
+        self.confirmation.begin(self._clock.now())
         self._health.forget_failures()
         self._begin_statements(report.instance)
         self._n_long_term_samples = 0
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -302,8 +302,9 @@
         departures.on_restored = self.backend_queue.restore_departure
         departures.on_changed = self._members.store_departures
         self._members.on_departures = self._restore_departures
-        self.backend_queue.is_first_process = cfg.first_start
-        self.backend_queue.knows_departures = cfg.first_start
+        confirmation = self.backend_queue.confirmation
+        confirmation.is_first_process = cfg.first_start
+        confirmation.knows_departures = cfg.first_start
         self.backend_queue.on_departure = departures.announce
         self._inbound.on_departure = departures.handle_departure
         self._inbound.on_departure_receipt = departures.handle_receipt
@@ -357,8 +358,8 @@
         """Apply the departures that an earlier process of this node has stored."""
         for departure in departures:
             self._departures.restore(departure, "store")
-        if not self.backend_queue.knows_departures:
-            self.backend_queue.knows_departures = True
+        if not self.backend_queue.confirmation.knows_departures:
+            self.backend_queue.confirmation.knows_departures = True
             self._send_status()
 
     def _handle_peer_status(self, link: OutboundLink) -> None:
