--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
@@ -8,10 +8,16 @@
 from testtools import TestCase
 
 from fuchsiagap.core.routes.model import CallerLimits
-from fuchsiagap_node.core.mesh.stream import BrokenStream, Stream, split_address
+from fuchsiagap_node.core.mesh.stream import (
+    BrokenStream,
+    Stream,
+    dial,
+    split_address,
+)
 from fuchsiagap_standins.mesh.backend_server import Behaviour
 from fuchsiagap_standins.mesh.deployment import a_deployment, a_route, request_bytes
-from fuchsiagap_standins.mesh.virtual import run_on_loopback
+from fuchsiagap_standins.mesh.memory_sockets import WINDOW_BYTES
+from fuchsiagap_standins.mesh.virtual import run_in_memory, run_on_loopback
 
 READ = a_route("read")
 RECEIVE_BUFFER_BYTES = 8_192
@@ -204,3 +210,37 @@
 
         expected = b"HTTP/1.1 413 Content Too Large", False
         self.assertEqual(expected, run_on_loopback(main))
+
+
+class TestContinue(TestCase):
+    def test_continue_that_does_not_fit_in_the_socket_keeps_earlier_responses(self):
+        async def main(n_bytes):
+            async with serving_host(b"x" * n_bytes) as (_, host):
+                stream = await dial(host.node.cfg.addresses.callers, 500.0)
+                await stream.send(request_bytes("/read/1", "r1"))
+                await trio.sleep(0.5)
+                upload = request_bytes(
+                    "/read/2",
+                    "r2",
+                    method="PUT",
+                    body=b"y",
+                    headers={"Expect": "100-continue"},
+                )
+                await stream.send(upload[:-1])
+                await trio.sleep(0.5)
+                data = b""
+                with trio.move_on_after(1.0):
+                    while part := await stream.receive():
+                        data += part
+                stream.close()
+                return data
+
+        async def measure():
+            return len((await main(100_000)).partition(b"\r\n\r\n")[0]) + 4
+
+        head_size = run_in_memory(measure)
+        n_bytes = WINDOW_BYTES - head_size - 5
+        data = run_in_memory(partial(main, n_bytes))
+        _, _, rest = data.partition(b"\r\n\r\n")
+        self.assertEqual(n_bytes, len(rest.partition(b"HTTP/1.1 ")[0]))
+        self.assertEqual(b"HTTP/1.1 100 Continue\r\n\r\n", rest[n_bytes:])
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_sockets.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/memory_sockets.py
@@ -27,7 +27,7 @@
     Address = tuple[str, int]
 
 # Maximum number of bytes that one end has sent and the other has not yet read.
-_WINDOW_BYTES = 262_144
+WINDOW_BYTES = 262_144
 
 
 class MemorySocket:
@@ -121,7 +121,7 @@
             raise OSError(errno.EBADF, "not connected")
         if peer._is_closed or self._is_shut_down:
             raise BrokenPipeError(errno.EPIPE, "closed by the other end")
-        room = _WINDOW_BYTES - len(peer._received)
+        room = WINDOW_BYTES - len(peer._received)
         if room <= 0:
             raise BlockingIOError
         part = bytes(data[:room])
@@ -197,7 +197,7 @@
     async def wait_writable(self) -> None:
         """Wait until `send` accepts bytes or fails because the peer has closed."""
         peer = self._peer
-        if peer is None or peer._is_closed or len(peer._received) < _WINDOW_BYTES:
+        if peer is None or peer._is_closed or len(peer._received) < WINDOW_BYTES:
             await trio.lowlevel.checkpoint()
             return
         if self._writer is not None:
