Ignore input behind a closing response that is still being sent

Cause: a response that is alone on its connection is marked with `Connection: close`. If it did not fit in the socket, requests that arrived until the rest was sent were still run. Their responses were sent after the end of stream; that failed, and the connection was closed with unread input, which the kernel answers with a reset.

Change: input is ignored from the moment at which the closing response is chosen. These requests are behind a response that closes the connection and are sent again.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -375,6 +375,10 @@
             exchange.closes_connection = exchange.closes_connection or (
                 self._listener.closing and last
             )
+            if exchange.closes_connection:
+                # The response may not fit in the socket at once. Requests that arrive
+                # until the rest is sent could not be answered.
+                self._ignores_input = True
             try:
                 self._unsent = self.stream.send_parts(_encode_exchange(exchange))
             except BrokenStream:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
@@ -1,17 +1,20 @@
 """Responses on connections that a node closes while their callers read slowly."""
 
 import socket
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from functools import partial
+from unittest import mock
 
 import trio
 from testtools import TestCase
 
 from fuchsiagap.core.routes.model import CallerLimits
+from fuchsiagap_node.core.mesh import node as mesh_node
 from fuchsiagap_node.core.mesh.stream import (
     BrokenStream,
     Stream,
     dial,
+    listen,
     split_address,
 )
 from fuchsiagap_standins.mesh.backend_server import Behaviour
@@ -21,6 +24,7 @@
 
 READ = a_route("read")
 RECEIVE_BUFFER_BYTES = 8_192
+SEND_BUFFER_BYTES = 16_384
 BODY = b"x" * 300_000
 CLOSING = {"Connection": "close"}
 
@@ -33,6 +37,19 @@
     return Stream(sock)
 
 
+@contextmanager
+def small_send_buffers():
+    """Give connections that nodes accept a send buffer smaller than a response."""
+
+    def listen_with_small_buffers(address):
+        sock = listen(address)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        return sock
+
+    with mock.patch.object(mesh_node, "listen", listen_with_small_buffers):
+        yield
+
+
 async def read_slowly(stream, pause=0.005):
     """Return all data until the end of the connection, and whether it was reset."""
     data = b""
@@ -45,6 +62,16 @@
     return data, False
 
 
+async def send_requests(stream, n_requests, interval):
+    """Send requests on a connection, one every `interval` seconds, until it ends."""
+    for n in range(n_requests):
+        try:
+            await stream.send(request_bytes("/read/1", f"r{n}"))
+        except BrokenStream:
+            return
+        await trio.sleep(interval)
+
+
 def split_responses(data):
     """Return the declared and the received length of the body of each response."""
     lengths = []
@@ -111,17 +138,9 @@
                     async def read():
                         results.append(await read_slowly(stream, 0.05))
 
-                    async def send():
-                        # Goes on sending for longer than the node runs.
-                        for n in range(100):
-                            try:
-                                await stream.send(request_bytes("/read/1", f"r{n}"))
-                            except BrokenStream:
-                                return
-                            await trio.sleep(0.06)
-
                     nursery.start_soon(read)
-                    nursery.start_soon(send)
+                    # Goes on sending for longer than the node runs.
+                    nursery.start_soon(send_requests, stream, 100, 0.06)
                     await trio.sleep(0.5)
                     await host.node.stop()
                     host.kill()
@@ -134,6 +153,24 @@
         self.assertGreater(len(lengths), 20)
         self.assertEqual([], [x for x in lengths if x[0] != x[1]])
 
+    def test_last_response_of_a_stop_is_not_cut_by_requests_sent_while_it_is_read(self):
+        async def main():
+            async with serving_host() as (deployment, host):
+                stopping = deployment.add("certs")
+                await deployment.settle()
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(stopping.node.stop)
+                    await trio.sleep(2.6)
+                    stream = connect_slow_reader(stopping.node.cfg.addresses.callers)
+                    nursery.start_soon(send_requests, stream, 40, 0.03)
+                    data, was_reset = await read_slowly(stream, 0.02)
+                    stream.close()
+                return split_responses(data), was_reset, len(host.server.heads)
+
+        expected = [(len(BODY), len(BODY))], False, 1
+        with small_send_buffers():
+            self.assertEqual(expected, run_on_loopback(main))
+
     def test_stop_waits_only_for_callers_that_may_still_read(self):
         async def main(idle_s):
             async with serving_host(b"x") as (_, host):
