Read no more requests in a stop than their caller can read responses

What callers saw (LOST): callers that pipeline and read slowly lost responses at the exit of a stopping node, 0.7 s before the end of the stop time.

Cause: requests were read until 2.5 s after the SIGTERM, and later on connections with pending responses, however far the caller was behind. What it had not read at the exit lay in the socket, and the next input reset the connection.

Change: the speed of each caller is observed from the SIGTERM on. If the pending responses need more than half of the time until the exit, or from 2.5 s on, no further request is read, and the connection is closed after the pending responses.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -17,6 +17,7 @@
 from fuchsiagap_node.core.mesh.graceful_close import GracefulClose
 from fuchsiagap_node.core.mesh.http_request import BadRequest, RequestReader
 from fuchsiagap_node.core.mesh.large_frames import LARGE_BODY_BYTES
+from fuchsiagap_node.core.mesh.reading_speed import ReadingSpeed
 from fuchsiagap_node.core.mesh.response_encoding import encode_head
 from fuchsiagap_node.core.mesh.stream import BrokenStream
 
@@ -46,6 +47,9 @@
 # have waited in the socket for the whole suspension. The length of the suspension is
 # deducted from the time limit of such a request.
 _SUSPENSION_BACKLOG_MS = 250.0
+# Share of the time until the exit in which a caller has to be able to read all pending
+# responses. Its speed may vary.
+_READING_TIME_SHARE = 0.5
 
 
 class CallerListener:
@@ -134,11 +138,23 @@
         for conn in [c for c in self._connections if c.is_timed_out(now)]:
             conn.close_timed_out()
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
+    def finish_connections(self) -> None:
+        """Close all connections after the responses that are pending on them."""
         for conn in list(self._connections):
-            if conn.is_idle():
-                conn.close_gracefully()
+            conn.finish()
+
+    def finish_slow_connections(self, time_to_exit: Milliseconds) -> None:
+        """Do the same for callers that read too slowly to read much more in time.
+
+        Parameters
+        ----------
+        time_to_exit : float
+            Milliseconds until the exit of the process.
+        """
+        now = self._clock.now()
+        for conn in list(self._connections):
+            if conn.time_to_read(now) > _READING_TIME_SHARE * time_to_exit:
+                conn.finish()
 
     def delays_exit(self) -> bool:
         """Whether callers may lose responses if the process exits now."""
@@ -237,9 +253,10 @@
         self._is_paused = False
         self._ignores_input = False
         self._graceful_close: GracefulClose | None = None
-
-    def is_idle(self) -> bool:
-        return not self._exchanges and not self._reader.in_message and not self._unsent
+        self._reading_speed = ReadingSpeed()
+        # Bytes of all responses so far, and of the last one.
+        self._n_encoded = 0
+        self._n_last_response = 0
 
     def n_unacknowledged(self) -> int:
         """Return the bytes of responses that the caller has not acknowledged."""
@@ -248,6 +265,22 @@
         n_unsent = sum(len(part) for part in self._unsent)
         return self.stream.count_unacknowledged() + n_unsent
 
+    def time_to_read(self, now: Milliseconds) -> Milliseconds:
+        """Return the milliseconds that the caller needs to read pending responses.
+
+        A response that does not exist yet is taken to be as large as the last one. The
+        speed of the caller is observed from call to call; 0 while it is unknown.
+
+        Parameters
+        ----------
+        now : float
+            Time in milliseconds.
+        """
+        n_waiting = self.n_unacknowledged()
+        self._reading_speed.observe(now, self._n_encoded, n_waiting)
+        n_expected = len(self._exchanges) * self._n_last_response
+        return self._reading_speed.time_to_read(n_waiting + n_expected)
+
     def delays_exit(self, now: Milliseconds) -> bool:
         """Whether the connection is being closed and its caller may still read."""
         closing = self._graceful_close
@@ -379,8 +412,11 @@
                 # The response may not fit in the socket at once. Requests that arrive
                 # until the rest is sent could not be answered.
                 self._ignores_input = True
+            parts = _encode_exchange(exchange)
+            self._n_last_response = sum(len(part) for part in parts)
+            self._n_encoded += self._n_last_response
             try:
-                self._unsent = self.stream.send_parts(_encode_exchange(exchange))
+                self._unsent = self.stream.send_parts(parts)
             except BrokenStream:
                 self._abort()
                 return
@@ -421,7 +457,20 @@
         self._listener.in_progress -= 1
         self._last_active_at = self._listener.now()
         self._resume_reading()
-        if exchange.closes_connection:
+        if exchange.closes_connection or (self._ignores_input and not self._exchanges):
+            self.close_gracefully()
+
+    def finish(self) -> None:
+        """Read no more requests, and close the connection after pending responses.
+
+        A request that is being received is still answered if it is the only one.
+        """
+        if self._exchanges:
+            self._ignores_input = True
+            is_partly_sent = len(self._exchanges) == 1 and bool(self._unsent)
+            if not is_partly_sent:
+                self._exchanges[-1].closes_connection = True
+        elif not self._reader.in_message and not self._unsent:
             self.close_gracefully()
 
     def close_timed_out(self) -> None:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -659,7 +659,7 @@
                 _READINESS_PROPAGATION_MS, time_to_stop / 2.0
             ):
                 self._callers.closing = True
-                self._callers.close_idle()
+                self._callers.finish_connections()
                 if not (
                     self._callers.in_progress
                     or self.backend_queue.running
@@ -667,6 +667,8 @@
                     or self._inbound.has_undelivered_replies()
                 ):
                     break
+            else:
+                self._callers.finish_slow_connections(planned_stop.time_to_exit)
             await trio.sleep(_STOP_POLL_INTERVAL_MS / MS_PER_S)
 
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/planned_stop.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/planned_stop.py
@@ -141,10 +141,15 @@
         """Whether the process stops."""
         return self._began_at is not None
 
+    @property
+    def time_to_exit(self) -> Milliseconds:
+        """Milliseconds until the process exits by itself; infinity without a stop."""
+        return self._time_to_stop - _STOP_MARGIN_MS - self.elapsed
+
     @property
     def is_over(self) -> bool:
         """Whether the process has to exit now."""
-        return self.elapsed >= self._time_to_stop - _STOP_MARGIN_MS
+        return self.time_to_exit <= 0.0
 
     def may_begin(
         self,
@@ -167,14 +172,13 @@
             Milliseconds for which the oldest unfinished work of this kind and route has
             been running.
         """
-        elapsed = self.elapsed
-        if elapsed < 0.0:
+        if not self.has_begun:
             return True
         if work in _FINISHING_SHARES:
             expected = self.route_times.quantile(route, _FINISHING_SHARES[work])
             expected = longest_running if expected is None else expected
             return self._accepts_caller_requests and self._can_finish(
-                elapsed, expected + _END_RESERVE_MS, time_left
+                expected + _END_RESERVE_MS, time_left
             )
         if work is Work.BACKEND_CALL and not self.accepts_backend_calls:
             return False
@@ -183,7 +187,7 @@
         expected = times.expected(route)
         if longest_running > 0.0:
             expected = max(expected or 0.0, longest_running * _RESERVE_FACTOR)
-        return self._can_finish(elapsed, expected, time_left)
+        return self._can_finish(expected, time_left)
 
     @property
     def _accepts_caller_requests(self) -> bool:
@@ -197,14 +201,12 @@
 
     def _can_finish(
         self,
-        elapsed: Milliseconds,
         expected: Milliseconds | None,
         time_left: Milliseconds,
     ) -> bool:
         """Whether a request ends before the exit, by its deadline or its usual time."""
-        left = self._time_to_stop - _STOP_MARGIN_MS - elapsed
-        if time_left <= left:
+        if time_left <= self.time_to_exit:
             return True
         if expected is None:
             return self._accepts_caller_requests
-        return expected <= left
+        return expected <= self.time_to_exit
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
@@ -153,6 +153,40 @@
         self.assertGreater(len(lengths), 20)
         self.assertEqual([], [x for x in lengths if x[0] != x[1]])
 
+    def count_unread_responses(self, pause_s):
+        """Return how many requests ran during a stop whose response was not read whole.
+
+        Parameters
+        ----------
+        pause_s : float
+            Seconds between two reads of some 8 KB by a caller that pipelines.
+        """
+
+        async def main():
+            async with serving_host(b"x" * 30_000) as (_, host):
+                stream = connect_slow_reader(host.node.cfg.addresses.callers)
+                results = []
+                async with trio.open_nursery() as nursery:
+
+                    async def read():
+                        results.append(await read_slowly(stream, pause_s))
+
+                    nursery.start_soon(read)
+                    nursery.start_soon(send_requests, stream, 100, 0.06)
+                    await trio.sleep(0.5)
+                    await host.node.stop()
+                    host.kill()
+                stream.close()
+                lengths = split_responses(results[0][0])
+                n_whole = lengths.count((30_000, 30_000))
+                return len(host.server.heads) - n_whole
+
+        return run_on_loopback(main)
+
+    def test_stop_loses_no_response_of_a_caller_that_reads_too_slowly(self):
+        for pause_s in (0.03, 0.08):
+            self.assertEqual(0, self.count_unread_responses(pause_s), pause_s)
+
     def test_last_response_of_a_stop_is_not_cut_by_requests_sent_while_it_is_read(self):
         async def main():
             async with serving_host() as (deployment, host):
