Log each connection of a caller that is cut with unacknowledged responses

Whether callers lost responses, and why, could not be told from the log: a connection that was closed after an unexpected exception or by the exit of the process left no line, and neither was counted.

Change: each close of a connection with unacknowledged or unsent responses is counted by cause (`caller`, `timeout`, `exit`, `exception`); the event `caller-connection-cut` has the bytes and the number of requests without a complete response.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -130,7 +130,7 @@
                 await trio.sleep_forever()
         finally:
             for conn in list(self._connections):
-                conn.stream.close()
+                conn.close_at_exit()
 
     def close_timed_out(self) -> None:
         """Close connections whose idle or header timeout has passed."""
@@ -165,19 +165,24 @@
         """Return the number of connections with unacknowledged responses."""
         return sum(1 for conn in self._connections if conn.n_unacknowledged())
 
-    def record_cut(self, cause: str, n_bytes: int) -> None:
+    def record_cut(self, cause: str, n_bytes: int, n_pending: int) -> None:
         """Record that a connection ends with unacknowledged responses.
 
         Parameters
         ----------
         cause : str
-            ``"caller"`` if the caller has ended it, ``"timeout"`` if this node has.
+            ``"caller"`` if the caller has ended it; ``"timeout"``, ``"exit"`` or
+            ``"exception"`` if this node has.
         n_bytes : int
             Bytes that the caller has not acknowledged.
+        n_pending : int
+            Requests whose response was not sent completely.
         """
         self._event_log.counts["caller_connections_cut", cause] += 1
         if cause != "caller":
-            self._event_log.event("caller-connection-cut", cause=cause, bytes=n_bytes)
+            self._event_log.event(
+                "caller-connection-cut", cause=cause, bytes=n_bytes, pending=n_pending
+            )
 
     def reader(self) -> RequestReader:
         """Return a request reader with the active limits."""
@@ -312,14 +317,11 @@
             self._handle_data(data)
         except Exception as exc:
             self._listener.log_exception(exc)
-            self._abort()
+            self._abort("exception")
 
     def on_end(self, _: BrokenStream) -> None:
         """Cancel the requests in progress after the connection has ended."""
-        n_unacknowledged = self.n_unacknowledged()
-        if n_unacknowledged and not self.stream.closed:
-            self._listener.record_cut("caller", n_unacknowledged)
-        self._abort()
+        self._abort("caller")
         self._listener.remove(self)
         if self._graceful_close is None:
             self._reader.close()
@@ -356,7 +358,7 @@
         try:
             rest = self.stream.send_some(b"HTTP/1.1 100 Continue\r\n\r\n")
         except BrokenStream:
-            self._abort()
+            self._abort("caller")
             return
         if rest:
             self._unsent = [rest]
@@ -418,7 +420,7 @@
             try:
                 self._unsent = self.stream.send_parts(parts)
             except BrokenStream:
-                self._abort()
+                self._abort("caller")
                 return
             if self._unsent:
                 self._listener.send_later(self._send_rest)
@@ -445,7 +447,7 @@
                     await self.stream.send(view)
                     self._last_active_at = self._listener.now()
         except BrokenStream:
-            self._abort()
+            self._abort("caller")
             return False
         self._unsent = []
         return True
@@ -481,10 +483,11 @@
         if self._graceful_close is None and not self._unsent:
             self.close_gracefully()
             return
-        n_unacknowledged = self.n_unacknowledged()
-        if n_unacknowledged:
-            self._listener.record_cut("timeout", n_unacknowledged)
-        self.stream.close()
+        self._close("timeout")
+
+    def close_at_exit(self) -> None:
+        """Close the connection at once, as the process exits."""
+        self._close("exit")
 
     def close_gracefully(self) -> None:
         """Close the connection once the caller has read all responses and closed it."""
@@ -494,16 +497,27 @@
         try:
             self.stream.finish_sending()
         except BrokenStream:
-            self._abort()
+            self._abort("caller")
             return
         self._reader.close()
         self._graceful_close = GracefulClose(
             self.stream, self._listener.now(), self._last_active_at
         )
 
-    def _abort(self) -> None:
-        """Close the connection and cancel the requests in progress on it."""
+    def _close(self, cause: str) -> None:
+        """Close the connection; see `CallerListener.record_cut` for the causes."""
+        n_unacknowledged = self.n_unacknowledged()
+        if n_unacknowledged and not self.stream.closed:
+            self._listener.record_cut(cause, n_unacknowledged, len(self._exchanges))
         self.stream.close()
+
+    def _abort(self, cause: str) -> None:
+        """Close the connection and cancel the requests in progress on it."""
+        self._close(cause)
+        self._cancel_requests()
+
+    def _cancel_requests(self) -> None:
+        """Cancel the requests in progress."""
         cancelled, self._exchanges = self._exchanges, deque()
         self._listener.in_progress -= len(cancelled)
         for exchange in cancelled:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
@@ -1,6 +1,7 @@
 """Responses on connections that a node closes while their callers read slowly."""
 
 import socket
+import struct
 from contextlib import asynccontextmanager, contextmanager
 from functools import partial
 from unittest import mock
@@ -266,6 +267,37 @@
         self.assertEqual(expected, self.run_silent_caller(9.5, 1_000_000))
 
 
+class TestCutConnections(TestCase):
+    """Connections that end with unacknowledged responses are logged with the cause."""
+
+    def test_connections_cut_at_the_exit_are_logged(self):
+        async def main():
+            async with serving_host() as (_, host):
+                stream = connect_slow_reader(host.node.cfg.addresses.callers)
+                await stream.send(request_bytes("/read/1", "r1"))
+                await trio.sleep(0.05)
+                host.kill()
+                await trio.sleep(0.05)
+                stream.close()
+                return host.node.event_log.counts["caller_connections_cut", "exit"]
+
+        self.assertEqual(1, run_on_loopback(main))
+
+    def test_connections_reset_by_their_caller_are_counted(self):
+        async def main():
+            async with serving_host(b"x" * 30_000_000) as (_, host):
+                stream = connect_slow_reader(host.node.cfg.addresses.callers)
+                await stream.send(request_bytes("/read/1", "r1"))
+                await trio.sleep(1.0)
+                linger = struct.pack("ii", 1, 0)
+                stream._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                stream.close()
+                await trio.sleep(0.1)
+                return host.node.event_log.counts["caller_connections_cut", "caller"]
+
+        self.assertEqual(1, run_on_loopback(main))
+
+
 class TestRejectedRequest(TestCase):
     def test_rejection_reaches_a_caller_that_goes_on_sending(self):
         async def main():
