Keep earlier responses when a request causes an unexpected exception

What callers would see (LOST): a response that they are still reading is reset if an unexpected exception occurs for a later request on the same connection. No such exception is known.

Cause: the connection was closed at once, with what lay unread in it.

Change: the requests in progress are cancelled and the connection is closed gracefully, unless a response is partly sent.

Evidence: test_exception_for_one_request_does_not_reset_the_response_before_it failed before with (300000, 12187) and a reset; passes now with the rest of test_graceful_close.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -317,7 +317,11 @@
             self._handle_data(data)
         except Exception as exc:
             self._listener.log_exception(exc)
-            self._abort("exception")
+            self._cancel_requests()
+            if self._unsent:
+                self._abort("exception")
+            else:
+                self.close_gracefully()
 
     def on_end(self, _: BrokenStream) -> None:
         """Cancel the requests in progress after the connection has ended."""
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
@@ -11,6 +11,7 @@
 
 from fuchsiagap.core.routes.model import CallerLimits
 from fuchsiagap_node.core.mesh import node as mesh_node
+from fuchsiagap_node.core.mesh.http_request import RequestReader
 from fuchsiagap_node.core.mesh.stream import (
     BrokenStream,
     Stream,
@@ -267,6 +268,26 @@
         self.assertEqual(expected, self.run_silent_caller(9.5, 1_000_000))
 
 
+class TestUnexpectedException(TestCase):
+    def test_exception_for_one_request_does_not_reset_the_response_before_it(self):
+        async def main():
+            async with serving_host() as (deployment, host):
+                deployment.expects_faults = True
+                stream = connect_slow_reader(host.node.cfg.addresses.callers)
+                await stream.send(request_bytes("/read/1", "r1"))
+                await trio.sleep(0.05)
+                with mock.patch.object(RequestReader, "feed", side_effect=ValueError):
+                    await stream.send(request_bytes("/read/1", "r2"))
+                    await trio.sleep(0.05)
+                    await stream.send(request_bytes("/read/1", "r3"))
+                    data, was_reset = await read_slowly(stream)
+                stream.close()
+                return split_responses(data), was_reset
+
+        expected = [(len(BODY), len(BODY))], False
+        self.assertEqual(expected, run_on_loopback(main))
+
+
 class TestCutConnections(TestCase):
     """Connections that end with unacknowledged responses are logged with the cause."""
 
