Count the time for which one heartbeat is enough from the start of the process

Cause: after a restart one heartbeat is enough until `drain` has passed. That time began at the creation of the node and not at the start of its process, which is earlier by the start of the interpreter, the imports and the settings: seconds on a busy host.

The event `started` states the difference.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_queue.py
@@ -99,6 +99,8 @@
         Memory for bodies; by default unlimited.
     planned_stop : PlannedStop, optional
         Decides what may begin while the process stops.
+    uptime : float, default=0
+        Milliseconds for which the process has been running.
 
     Attributes
     ----------
@@ -134,13 +136,14 @@
         poller: Poller,
         memory: BodyMemory | None = None,
         planned_stop: PlannedStop | None = None,
+        uptime: Milliseconds = 0.0,
     ) -> None:
         self.planned_stop = planned_stop or PlannedStop(clock)
         self._cfg = cfg
         self.reports = CrashReports(cfg.quarantine, cfg.service, clock, rng, event_log)
         self.retry_budget = QueueRetryBudget(cfg.budget, clock, event_log, rng)
         self._clock = clock
-        self._started_at = clock.now()
+        self._started_at = clock.now() - uptime
         self._event_log = event_log
         self._queue: RankedQueue[PendingCall] = RankedQueue(1)
         self._offered = OfferedLoad()
@@ -172,7 +175,7 @@
         self._long_term_service_ms = 0.0
         self._n_long_term_samples = 0
         self.leaving = False
-        self.confirmation = Confirmation(clock.now())
+        self.confirmation = Confirmation(self._started_at)
         self._abandoned: dict[PendingCall, Milliseconds] = {}
         self.controls_contention: Callable[[], bool] = bool
         self.changed: Callable[[], None] = _nothing
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -130,6 +130,8 @@
     rng : random.Random, optional
         Breaks ties, and spreads actions that nodes would otherwise take at the same
         time; by default unseeded.
+    uptime : float, default=0
+        Milliseconds for which the process has been running.
 
     Attributes
     ----------
@@ -155,9 +157,11 @@
         clock: Clock | None = None,
         reload: Callable[[], MeshSettings | str] | None = None,
         rng: random.Random | None = None,
+        uptime: Milliseconds = 0.0,
     ) -> None:
         clock = clock or trio_clock()
         rng = rng or random.Random()
+        self._start_ms = uptime
         self.cfg = cfg
         self._clock = clock
         self._read_report = read_report
@@ -175,6 +179,7 @@
             self._poller,
             self.body_memory,
             self._planned_stop,
+            uptime,
         )
         self._peers = Peers()
         self._contention_scope = ContentionScope(self._peers, clock)
@@ -473,6 +478,7 @@
             "started",
             service=cfg.service,
             data_centre=cfg.data_centre,
+            start_ms=round(self._start_ms),
             **asdict(build_info()),
         )
         watch = SuspensionWatch(self._clock.catch_up, self._handle_suspension)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -463,6 +463,63 @@
             found = run_in_memory(partial(main, state))
             self.assertEqual((200, False), found, state)
 
+    def use_after_loss_of_all(self, state, start_s, late_s):
+        """Return when a server is used that left before all nodes were killed.
+
+        Its departure is acknowledged while the store is silent.
+
+        Parameters
+        ----------
+        state : BackendState
+            State in which it left.
+        start_s : float
+            Seconds that the start of a process takes.
+        late_s : tuple of float
+            Seconds after the kill at which a late heartbeat arrives.
+
+        Returns
+        -------
+        list of float
+            Seconds after the kill, in steps of 0.1 s.
+        """
+
+        async def main():
+            async with a_deployment(a_route("read")) as deployment:
+                hosts = [deployment.add("certs") for _ in range(4)]
+                await deployment.settle()
+                leaving = hosts[0]
+                leaving.departed = leaving.server.instance
+                late = [leaving.next_report() for _ in late_s]
+                for host in hosts:
+                    host.store.down = True
+                self.assertEqual(200, await report(leaving, state))
+                killed_at = trio.current_time()
+                for host in hosts:
+                    host.kill()
+                    host.store.down = False
+                await trio.sleep(start_s)
+                restarted = [deployment.restart(h, 1_000.0 * start_s) for h in hosts]
+                queue = restarted[0].node.backend_queue
+                used = []
+                for step in range(int(10.0 * start_s), 120):
+                    at = step / 10.0
+                    await trio.sleep_until(killed_at + at)
+                    if late and at >= late_s[-len(late)]:
+                        queue.handle_report(late.pop(0))
+                    if queue.instance():
+                        used.append(at)
+                return used
+
+        return run_in_memory(main)
+
+    def test_slow_start_does_not_extend_the_use_of_a_server_that_left(self):
+        for start_s in (0.2, 0.8, 2.0, 5.0):
+            for state in (DRAINING, GONE):
+                for late_s in (1.5, 2.5, 3.5, 5.5):
+                    used = self.use_after_loss_of_all(state, start_s, (late_s,))
+                    last = max(used, default=0.0)
+                    self.assertLess(last, DRAIN_S, (start_s, state, late_s))
+
     def acknowledge(self, n_nodes, confirms):
         """Return the milliseconds that an acknowledgement waits, and what was sent."""
 
--- a/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
+++ b/packages/fuchsiagap-standins/src/fuchsiagap_standins/mesh/deployment.py
@@ -348,11 +348,19 @@
         self.nursery.start_soon(_run, host)
         return host
 
-    def restart(self, host: Host) -> Host:
-        """Kill a node and restart it with the same addresses and backend server."""
+    def restart(self, host: Host, uptime: Milliseconds = 0.0) -> Host:
+        """Kill a node and restart it with the same addresses and backend server.
+
+        Parameters
+        ----------
+        host : Host
+            Host of the node.
+        uptime : float, default=0
+            Milliseconds for which the new process has been starting until now.
+        """
         host.kill()
         rng = random.Random(self.first_seed + len(self.hosts))
-        node = Node(host.node.cfg, host.store, _no_reports, rng=rng)
+        node = Node(host.node.cfg, host.store, _no_reports, rng=rng, uptime=uptime)
         restarted = Host(
             node,
             host.server,
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/confirmation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/confirmation.py
@@ -23,8 +23,9 @@
 
     Parameters
     ----------
-    now : float
-        Time of the start in milliseconds.
+    started_at : float
+        Time at which the process was started, in milliseconds. No earlier process has
+        acknowledged a departure since.
 
     Attributes
     ----------
@@ -36,9 +37,9 @@
         Whether a server is known to be alive. Holds for all later servers as well.
     """
 
-    def __init__(self, now: Milliseconds) -> None:
-        self._started_at = now
-        self._first_report_at = now
+    def __init__(self, started_at: Milliseconds) -> None:
+        self._started_at = started_at
+        self._first_report_at = started_at
         self.is_first_process = True
         self.knows_departures = True
         self.is_confirmed = False
