Confirm no server 10 s after a restart by heartbeats that arrived before

What callers would see (DRAIN): a server that left before all nodes were killed is used again 10 s after the restart, if a late heartbeat arrived some seconds before.

Cause: the rule that one heartbeat is enough once no delayed one can arrive any more compared the present time with its bound, and not the time at which the heartbeat arrived.

Change: the arrival counts.

Evidence: test_late_heartbeat_is_not_believed_once_no_further_one_can_be_late and test_heartbeat_that_may_be_delayed_is_not_enough_later_either failed before; the tests of departures and confirmation pass (29).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_departures.py
@@ -520,6 +520,12 @@
                     last = max(used, default=0.0)
                     self.assertLess(last, DRAIN_S, (start_s, state, late_s))
 
+    def test_late_heartbeat_is_not_believed_once_no_further_one_can_be_late(self):
+        for start_s in (0.2, 2.0, 5.0):
+            for late_s in ((9.0,), (9.8,), (5.5, 5.6, 6.0)):
+                used = self.use_after_loss_of_all(GONE, start_s, late_s)
+                self.assertEqual([], used, (start_s, late_s))
+
     def acknowledge(self, n_nodes, confirms):
         """Return the milliseconds that an acknowledgement waits, and what was sent."""
 
--- a/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/confirmation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/core/backend_queue/confirmation.py
@@ -73,11 +73,12 @@
             Milliseconds from an acknowledgement until the last request.
         """
         uptime = now - self._started_at
-        spacing = now - heartbeat_age - self._first_report_at
+        last_report_at = now - heartbeat_age
+        spacing = last_report_at - self._first_report_at
         self.is_confirmed = (
             self.is_confirmed
             or self.is_first_process
-            or uptime > MAX_REPORT_DELAY_MS
+            or last_report_at - self._started_at > MAX_REPORT_DELAY_MS
             or spacing >= _MIN_SPACING * heartbeat
         )
         return self.is_confirmed or (self.knows_departures and uptime < drain)
--- a/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_confirmation.py
+++ b/packages/fuchsiagap/src/fuchsiagap/tests/core/backend_queue/test_confirmation.py
@@ -49,6 +49,12 @@
         confirmation.begin(10_001.0)
         self.assertTrue(allows_use(confirmation, 10_001.0, 10_001.0))
 
+    def test_heartbeat_that_may_be_delayed_is_not_enough_later_either(self):
+        confirmation = a_restart()
+        confirmation.begin(9_900.0)
+        self.assertFalse(allows_use(confirmation, 10_100.0, 9_900.0))
+        self.assertTrue(allows_use(confirmation, 10_100.0, 10_100.0))
+
     def test_one_heartbeat_is_enough_in_the_first_process(self):
         confirmation = Confirmation(0.0)
         confirmation.begin(5_000.0)
