Accept a build without byte code as the same code

Cause: the digest of the installed files held the sizes of the byte code, which the interpreter does without.

Change: byte code may be missing or be made anew. That of the build, which is used without a look at its source, still has to have its size. A build makes what is missing again.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -44,6 +44,8 @@
 # File in a build that holds the digests of what it was made of.
 _RECORD = "build.json"
 _MIN_PYTHON = (3, 11)
+# Flags in the header of byte code that is used whatever its source holds.
+_UNCHECKED_HASH = b"\x01\0\0\0"
 _METRICS_TIMEOUT_S = 5.0
 _BUILD_METRIC = re.compile(r'fuchsiagap_build_info\{.*digest="([^"]*)"')
 
@@ -74,11 +76,19 @@
     return digest.hexdigest()
 
 
-def _is_foreign_byte_code(path: Path) -> bool:
-    """Whether a file is byte code that another interpreter has left in a build."""
-    return path.suffix == ".pyc" and not path.stem.endswith(
-        f".{sys.implementation.cache_tag}"
-    )
+def _is_byte_code(path: Path) -> bool:
+    """Whether a file is byte code that is used only beside its source."""
+    return path.suffix == ".pyc" and path.parent.name == "__pycache__"
+
+
+def _is_unchecked_byte_code(path: Path) -> bool:
+    """Whether this interpreter uses a file without a look at its source (PEP 552)."""
+    is_own = path.stem.endswith(f".{sys.implementation.cache_tag}")
+    if not (_is_byte_code(path) and is_own):
+        return False
+    with path.open("rb") as file:
+        header = file.read(8)
+    return header[4:] == _UNCHECKED_HASH
 
 
 def _inputs(sources: str) -> dict[str, str]:
@@ -91,10 +101,13 @@
 
 
 def _digest_files(folder: Path) -> str:
-    """Return a digest of the paths and sizes of all files of a build."""
+    """Return a digest of the paths and sizes of all files of a build.
+
+    Byte code is left out: the interpreter makes it anew where it is missing.
+    """
     digest = hashlib.sha256()
     for path in sorted(folder.rglob("*")):
-        if path.name == _RECORD or _is_foreign_byte_code(path):
+        if path.name == _RECORD or _is_byte_code(path):
             continue
         if path.is_file():
             entry = f"{path.relative_to(folder).as_posix()}\0{path.stat().st_size}\0"
@@ -102,7 +115,16 @@
     return digest.hexdigest()
 
 
-def _read_record(folder: Path) -> dict[str, str]:
+def _measure_byte_code(folder: Path) -> dict[str, int]:
+    """Return the size of each file with unchecked byte code in a build."""
+    return {
+        path.relative_to(folder).as_posix(): path.stat().st_size
+        for path in sorted(folder.rglob("*.pyc"))
+        if _is_unchecked_byte_code(path)
+    }
+
+
+def _read_record(folder: Path) -> dict[str, Any]:
     """Return the record of a build; empty if there is none or it is damaged."""
     try:
         record = json.loads((folder / _RECORD).read_text(encoding="utf-8"))
@@ -112,8 +134,24 @@
 
 
 def _is_intact(folder: Path) -> bool:
-    """Whether no file of a build was added, removed or cut since it was made."""
-    return _read_record(folder).get("files") == _digest_files(folder)
+    """Whether no file of a build was added, removed or cut since it was made.
+
+    Byte code may be missing, and the interpreter may have made it anew.
+    """
+    record = _read_record(folder)
+    compiled = record.get("byte_code", {})
+    return record.get("files") == _digest_files(folder) and all(
+        compiled.get(path, size) == size
+        for path, size in _measure_byte_code(folder).items()
+    )
+
+
+def _has_byte_code() -> bool:
+    """Whether all byte code of the last build is there."""
+    return (
+        _read_record(DEPS).get("byte_code", {}).keys()
+        <= _measure_byte_code(DEPS).keys()
+    )
 
 
 def is_current(sources: str) -> bool:
@@ -204,12 +242,12 @@
     """Bring ``target/deps`` up to date with the sources; raises `BuildError`."""
     info = _load_build_info()
     is_tidy = not (_STAGING.exists() or _REPLACED.exists())
-    if is_tidy and is_current(info.digest_sources(PACKAGES)):
+    if is_tidy and is_current(info.digest_sources(PACKAGES)) and _has_byte_code():
         return
     with _build_lock():
         _restore_build()
         sources = info.digest_sources(PACKAGES)
-        if is_current(sources):
+        if is_current(sources) and _has_byte_code():
             return
         _install_libraries()
         _install_packages(sources, info.RECORD_MODULE)
@@ -221,7 +259,11 @@
             force=True,
             invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
         )
-        record = {**_inputs(sources), "files": _digest_files(_STAGING)}
+        record = {
+            **_inputs(sources),
+            "files": _digest_files(_STAGING),
+            "byte_code": _measure_byte_code(_STAGING),
+        }
         (_STAGING / _RECORD).write_text(json.dumps(record), encoding="utf-8")
         _replace_build()
 
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/process_start.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/process_start.py
@@ -1,7 +1,4 @@
-"""Start of this process, as the kernel knows it.
-
-Imports the standard library only, so that it costs no time before other imports.
-"""
+"""Start of this process, as the kernel knows it."""
 
 from __future__ import annotations
 
@@ -10,12 +7,13 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from fuchsiagap.core.clock import MS_PER_S
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from fuchsiagap.core.clock import Milliseconds
 
-_MS_PER_S = 1000.0
 _STAT = Path("/proc/self/stat")
 # Index of the start time, in clock ticks since the boot, among the fields behind the
 # name of the program, which is in parentheses and may contain spaces (proc(5)).
@@ -28,7 +26,7 @@
 
 def since_boot() -> Milliseconds:
     """Return the milliseconds since the boot, which include suspensions."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
 
 
 def process_uptime(
@@ -53,7 +51,7 @@
     since_entry = now() - entered_at
     try:
         fields = stat.read_bytes().rpartition(b")")[2].split()
-        started_at = int(fields[_START_TIME]) / os.sysconf("SC_CLK_TCK") * _MS_PER_S
+        started_at = int(fields[_START_TIME]) / os.sysconf("SC_CLK_TCK") * MS_PER_S
     except (OSError, ValueError, IndexError):
         return since_entry
     until_entry = entered_at - started_at
