Handle no requests after the decision to exit

What callers saw (LOST): in a planned stop, a request on a new connection was passed on to a server, and its connection ended with the process 8 ms later.

Cause: between the last check for requests in progress and the cancellation of the tasks, the listener went on accepting connections and passing requests on. Callers whose connections were just closed connect again in this time.

Change: requests are not handled from the last check on.

Evidence: test_request_that_arrives_once_the_stop_is_over_is_not_run failed before (1 request run).

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -76,6 +76,8 @@
         Limits of the active configuration.
     closing : bool
         Whether connections are closed after their last pending response.
+    ending : bool
+        Whether the process is about to exit, so that no further request is handled.
     in_progress : int
         Requests whose response has not been sent completely.
     memory : BodyMemory
@@ -99,6 +101,7 @@
         self._event_log = event_log
         self.limits = CallerLimits()
         self.closing = False
+        self.ending = False
         self.in_progress = 0
         self._connections: dict[_Connection, None] = {}
         self._nursery: trio.Nursery | None = None
@@ -311,7 +314,7 @@
         if self._graceful_close is not None:
             return
         self._last_active_at = self._listener.now()
-        if self._ignores_input:
+        if self._ignores_input or self._listener.ending:
             return
         try:
             self._handle_data(data)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -676,6 +676,8 @@
             else:
                 self._callers.finish_slow_connections(planned_stop.time_to_exit)
             await trio.sleep(_STOP_POLL_INTERVAL_MS / MS_PER_S)
+        # Tasks run on until they are cancelled, and callers go on connecting.
+        self._callers.ending = True
 
 
 def _text_response(status: int, text: str) -> FinalResponse:
