Keep a large request whose server leaves its receive window closed

Cause: connections to the backend server had a TCP_USER_TIMEOUT of 1 s, in which Linux includes the time for which the window of the peer is closed.

Tried first: the time left until the deadline as the timeout. 8 of 20 uploads were still reset, 0.8 s after they were sent, since the kernel goes on with the measurement of an earlier call on the connection if the window opens only partly. Shown with two sockets and none of our code.

Change: a call of over 4,096 bytes is sent without user timeout and bounded by its deadline. The timeout is in force again once it is answered, so dead connections are noticed as before during small calls and while idle.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/backend_conn.py
@@ -16,6 +16,7 @@
 )
 from fuchsiagap_node.core.mesh.stream import (
     IDLE_PROBES,
+    NO_USER_TIMEOUT,
     BrokenStream,
     EndedStream,
     SilentStream,
@@ -45,6 +46,10 @@
 # does. Without this, a dead connection would hold its call and its slot until the
 # deadline.
 _ACK_TIMEOUT_MS = 1_000.0
+# Calls up to this size fit in the receive window of a server. It may leave its window
+# closed while it receives a larger one, and the kernel then breaks the connection as
+# well, so such a call is bounded by its deadline only.
+_RECEIVE_WINDOW_BYTES = 4_096
 # Share of the idle timeout announced by the server after which a connection is not
 # reused, since the server may already be closing it.
 _IDLE_TIMEOUT_SHARE = 0.7
@@ -120,6 +125,7 @@
         self._limits = cfg.response_limits
         self._reader = ResponseReader(cfg.names, memory, self._limits)
         self._n_skipped = 0
+        self._ack_timeout = _ACK_TIMEOUT_MS
         self._unsent: list[Buffer] = []
         self._carried: set[str] = set()
         self.idle_since: Milliseconds = 0.0
@@ -146,7 +152,7 @@
             If it does not open in time.
         """
         self._stream = await dial(self._cfg.backend, _CONNECT_TIMEOUT_MS)
-        self._stream.set_user_timeout(_ACK_TIMEOUT_MS)
+        self._stream.set_user_timeout(self._ack_timeout)
         self._stream.enable_keepalive(IDLE_PROBES)
         if self.closed:
             self._stream.close()
@@ -199,6 +205,8 @@
         except BrokenStream:
             self.close()
             return False
+        if len(head) + len(call.body) > _RECEIVE_WINDOW_BYTES:
+            self._set_ack_timeout(NO_USER_TIMEOUT)
         self.call = call
         self.n_received = 0
         self._carried.add(call.request_id)
@@ -350,10 +358,17 @@
         if not clean or not answer.keep_alive or self._unsent or is_full:
             self.close()
             return
+        self._set_ack_timeout(_ACK_TIMEOUT_MS)
         self.idle_since = self._clock.now()
         if answer.idle_timeout is not None:
             self._max_idle_ms = answer.idle_timeout * _IDLE_TIMEOUT_SHARE
 
+    def _set_ack_timeout(self, wait: Milliseconds) -> None:
+        """Set the time after which unacknowledged bytes break the connection."""
+        if wait != self._ack_timeout and self._stream is not None:
+            self._ack_timeout = wait
+            self._stream.set_user_timeout(wait)
+
 
 def _outcome(answer: Response) -> Outcome:
     if answer.status == MISDIRECTED_REQUEST:
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -55,6 +55,8 @@
 # An idle connection to a backend server is reset after 3 s of silence. Otherwise the
 # next call on it would wait for its timeout.
 IDLE_PROBES = KeepaliveProbes(1, 1, 2)
+# Leaves unacknowledged data to the kernel's own limits, which exceed any deadline.
+NO_USER_TIMEOUT: Milliseconds = 0.0
 # Errors of `accept` when file descriptors or socket buffers have run out.
 _OUT_OF_DESCRIPTORS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS})
 
@@ -376,7 +378,10 @@
             self.close()
 
     def set_user_timeout(self, wait: Milliseconds) -> None:
-        """Reset the connection if sent data stays unacknowledged for `wait` ms."""
+        """Reset the connection if sent data stays unacknowledged for `wait` ms.
+
+        This includes the time for which the receive window of the peer is closed.
+        """
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(wait))
 
     def enable_keepalive(self, probes: KeepaliveProbes = WATCH_PROBES) -> None:
