Check running nodes without the proxy of the environment

Not known to have occurred.

Cause: urllib.request.urlopen uses the proxies of the environment. The other HTTP clients of the project ignore them.

Change: an opener without proxies.

Evidence: test_check_reads_nodes_on_loopback_although_a_proxy_is_set failed before (exit 1); the 19 tests of the build pass.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -270,8 +270,10 @@
 
 def _read_running_digest(url: str) -> str:
     """Return the digest that a node shows at the URL of its metrics."""
+    # A proxy of the environment does not reach nodes on loopback addresses.
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
     try:
-        with urllib.request.urlopen(url, timeout=_METRICS_TIMEOUT_S) as response:
+        with opener.open(url, timeout=_METRICS_TIMEOUT_S) as response:
             text = response.read().decode("utf-8", "replace")
     except (OSError, ValueError) as exc:
         return f"unknown ({exc})"
