--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -147,7 +147,9 @@
             conn.finish()
 
     def finish_slow_connections(self, time_to_exit: Milliseconds) -> None:
-        """Do the same for callers that read too slowly to read much more in time.
+        """Close connections whose callers read too slowly to read much more in time.
+
+        Like `finish_connections`, it lets pending responses through first.
 
         Parameters
         ----------
