Let pipelined requests wait until earlier responses fit in the socket

What callers saw (LOST): a caller that pipelines requests for large responses and reads slowly loses responses at the exit of a stopping node, of requests that were sent shortly after the SIGTERM or on connections opened during the stop.

Cause: until the speed of a caller has been observed for 250 ms, all of its pipelined requests were started, and the kernel accepted their responses, up to 357,000 bytes for one that reads 100 KB a second.

Change: TCP_NOTSENT_LOWAT bounds what the kernel holds back for a caller. While a response does not fit, and in a stop while another one is pending, further requests of the connection wait; they are dropped unrun when it is closed. Input that is ignored is also discarded where 16 requests were pending. A response that is partly sent survives an unexpected exception for a later request.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -47,6 +47,9 @@
 # have waited in the socket for the whole suspension. The length of the suspension is
 # deducted from the time limit of such a request.
 _SUSPENSION_BACKLOG_MS = 250.0
+# Maximum bytes of responses that the kernel holds back for a caller, besides those that
+# fit in its receive window.
+_MAX_HELD_BACK_BYTES = 32_768
 # Share of the time until the exit in which a caller has to be able to read all pending
 # responses. Its speed may vary.
 _READING_TIME_SHARE = 0.5
@@ -74,6 +77,9 @@
     ----------
     limits : CallerLimits
         Limits of the active configuration.
+    stopping : bool
+        Whether the process stops, so that each connection has at most one request in
+        progress.
     closing : bool
         Whether connections are closed after their last pending response.
     ending : bool
@@ -100,6 +106,7 @@
         self._clock = clock
         self._event_log = event_log
         self.limits = CallerLimits()
+        self.stopping = False
         self.closing = False
         self.ending = False
         self.in_progress = 0
@@ -110,6 +117,7 @@
 
     def serve(self, stream: Stream) -> None:
         """Start serving a connection; it is served by callbacks until it ends."""
+        stream.limit_unsent(_MAX_HELD_BACK_BYTES)
         conn = _Connection(self, stream)
         self._connections[conn] = None
         stream.start_reading(self._poller, conn.on_data, conn.on_end)
@@ -249,7 +257,8 @@
 
     The poller calls it when there is data to read. Responses are sent in the order of
     their requests, each in the call that delivers it or, if an earlier one is pending,
-    right after that one.
+    right after that one. While a response does not fit in the socket, further requests
+    wait, so that a caller that reads slowly has few responses pending.
     """
 
     def __init__(self, listener: CallerListener, stream: Stream) -> None:
@@ -258,6 +267,8 @@
         self._reader = listener.reader()
         self._last_active_at = listener.now()
         self._exchanges: deque[_Exchange] = deque()
+        # Requests that have not been started, each with the time of its arrival.
+        self._waiting: deque[tuple[Request, Milliseconds]] = deque()
         self._caller_credit = CallerCredit()
         self._unsent: list[Buffer] = []
         self._is_paused = False
@@ -322,7 +333,11 @@
             self._handle_data(data)
         except Exception as exc:
             self._listener.log_exception(exc)
-            self._cancel_requests()
+            self._ignores_input = True
+            # The first response may be partly sent.
+            self._cancel_requests(n_kept=1 if self._unsent else 0)
+            if self._exchanges:
+                return
             if self._unsent:
                 self._abort("exception")
             else:
@@ -344,6 +359,8 @@
         for req in requests:
             if self._ignores_input:
                 self._listener.memory.release(req.n_held)
+            elif self._waiting or self._must_wait():
+                self._waiting.append((req, self._listener.now()))
             else:
                 self._start(req)
         if self._reader.rejected is not None and not self._ignores_input:
@@ -358,7 +375,7 @@
             # Not sent while an earlier response is pending, which may be partly sent.
             self._reader.wants_continue = False
             self._send_continue()
-        if len(self._exchanges) >= _MAX_PIPELINED:
+        if self._is_full():
             self._is_paused = True
             self.stream.pause()
 
@@ -374,11 +391,38 @@
             self._listener.send_later(self._send_rest_of_continue)
 
     def _resume_reading(self) -> None:
-        """Resume reading once fewer than the maximum of requests are in progress."""
-        if self._is_paused and len(self._exchanges) < _MAX_PIPELINED:
+        """Resume reading once input is ignored or further requests can be kept."""
+        if self._is_paused and (self._ignores_input or not self._is_full()):
             self._is_paused = False
             self.stream.resume()
 
+    def _is_full(self) -> bool:
+        """Whether the maximum of pipelined requests has been read."""
+        return len(self._exchanges) + len(self._waiting) >= _MAX_PIPELINED
+
+    def _must_wait(self) -> bool:
+        """Whether a further request waits until earlier responses are sent."""
+        is_behind = self._listener.stopping and bool(self._exchanges)
+        return bool(self._unsent) or is_behind
+
+    def _start_waiting(self, is_forced: bool = False) -> None:
+        """Start waiting requests, all of them if forced, until one must wait on."""
+        while self._waiting and not self._ignores_input:
+            if self._must_wait() and not is_forced:
+                return
+            req, received_at = self._waiting.popleft()
+            if req.wait is not None:
+                waited = self._listener.now() - received_at
+                req = req._replace(wait=max(req.wait - waited, 0.0))
+            self._start(req)
+        self._drop_waiting()
+
+    def _drop_waiting(self) -> None:
+        """Drop the waiting requests; their caller may send them again."""
+        for req, _ in self._waiting:
+            self._listener.memory.release(req.n_held)
+        self._waiting.clear()
+
     def _start(self, req: Request) -> None:
         exchange = self._add_exchange(req)
         self._ignores_input = exchange.closes_connection
@@ -403,6 +447,9 @@
 
     def _reject(self, exc: BadRequest) -> None:
         """Answer a malformed request after all pending responses, then close."""
+        self._start_waiting(is_forced=True)
+        if self._ignores_input:
+            return
         self._ignores_input = True
         self._add_exchange(None).final = FinalResponse(exc.status)
         self._flush()
@@ -415,7 +462,11 @@
             and not self._unsent
         ):
             exchange = self._exchanges[0]
-            last = len(self._exchanges) == 1 and not self._reader.in_message
+            last = (
+                len(self._exchanges) == 1
+                and not self._waiting
+                and not self._reader.in_message
+            )
             exchange.closes_connection = exchange.closes_connection or (
                 self._listener.closing and last
             )
@@ -435,6 +486,7 @@
                 self._listener.send_later(self._send_rest)
                 return
             self._sent()
+        self._start_waiting()
 
     async def _send_rest(self) -> None:
         """Send the rest of a response to a caller that reads slowly."""
@@ -478,6 +530,8 @@
         """
         if self._exchanges:
             self._ignores_input = True
+            self._drop_waiting()
+            self._resume_reading()
             is_partly_sent = len(self._exchanges) == 1 and bool(self._unsent)
             if not is_partly_sent:
                 self._exchanges[-1].closes_connection = True
@@ -503,6 +557,7 @@
         if self._graceful_close is not None:
             return
         self._ignores_input = True
+        self._drop_waiting()
         try:
             self.stream.finish_sending()
         except BrokenStream:
@@ -525,9 +580,12 @@
         self._close(cause)
         self._cancel_requests()
 
-    def _cancel_requests(self) -> None:
-        """Cancel the requests in progress."""
-        cancelled, self._exchanges = self._exchanges, deque()
+    def _cancel_requests(self, n_kept: int = 0) -> None:
+        """Cancel all requests in progress but the first ones, and drop waiting ones."""
+        self._drop_waiting()
+        cancelled = [
+            self._exchanges.pop() for _ in range(len(self._exchanges) - n_kept)
+        ]
         self._listener.in_progress -= len(cancelled)
         for exchange in cancelled:
             self._listener.memory.release(exchange.n_held)
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/node.py
@@ -638,6 +638,7 @@
     async def stop(self) -> None:
         """Stop accepting work in steps, and wait for work in progress to finish."""
         self._planned_stop.begin(self.cfg.bounds.stop)
+        self._callers.stopping = True
         self._leaving = True
         async with trio.open_nursery() as nursery:
             if not self.backend_queue.instance():
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/stream.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import socket
 from dataclasses import dataclass
@@ -384,6 +385,15 @@
         """
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(wait))
 
+    def limit_unsent(self, n_bytes: int) -> None:
+        """Let the kernel accept no more data once it holds `n_bytes` not yet sent.
+
+        Data that was sent and not acknowledged does not count. Has no effect where the
+        kernel does not support it.
+        """
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, n_bytes)
+
     def enable_keepalive(self, probes: KeepaliveProbes = WATCH_PROBES) -> None:
         """Enable TCP keepalive, which resets the connection when the peer is silent.
 
