Start no task for a response that does not fit at the exit

A call that the exit breaks off is answered, and the rest of a response that did not fit was handed to a task of the listener after its tasks had ended.

Change: the listener starts no task once it is cancelled. The connection is closed at the exit.

--- a/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/core/mesh/callers.py
@@ -138,7 +138,12 @@
         """Run the tasks that send to slow callers, until cancelled."""
         try:
             async with trio.open_nursery() as self._nursery:
-                await trio.sleep_forever()
+                try:
+                    await trio.sleep_forever()
+                finally:
+                    # Calls that the exit breaks off are still answered, but a closed
+                    # nursery accepts no tasks.
+                    self._nursery = None
         finally:
             for conn in list(self._connections):
                 conn.close_at_exit()
--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_slow_callers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_slow_callers.py
@@ -3,6 +3,7 @@
 import trio
 from testtools import TestCase
 
+from fuchsiagap_node.core.mesh.callers import CallerListener
 from fuchsiagap_node.tests.core.mesh.test_graceful_close import (
     BODY,
     connect_slow_reader,
@@ -116,3 +117,18 @@
     def test_stopping_node_runs_one_request_of_a_connection_at_a_time(self):
         self.assertEqual(N_BEHIND, self.count_started(is_stopping=False))
         self.assertEqual(1, self.count_started(is_stopping=True))
+
+
+class TestExit(TestCase):
+    def test_response_that_does_not_fit_at_the_exit_causes_no_exception(self):
+        async def main():
+            async with serving_host() as (_, host):
+                listener = CallerListener(host.node.cfg, None, None, None, None)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(listener.run)
+                    await trio.sleep(0.1)
+                    nursery.cancel_scope.cancel()
+                # Calls that the exit breaks off are answered until the process ends.
+                listener.send_later(trio.sleep_forever)
+
+        run_on_loopback(main)
