--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_slow_servers.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_slow_servers.py
@@ -55,8 +55,16 @@
             )
 
 
+def user_timeout(conn):
+    """Return the user timeout of a connection in milliseconds; None if it is closed."""
+    if conn.closed:
+        return None
+    sock = conn._stream._sock
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+
 async def call_twice(receive_buffer, n_bytes):
-    """Return the outcomes of two calls, and the user timeout after each."""
+    """Return the outcomes of two calls, each with the user timeout after it."""
     with socket.socket() as listener:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         listener.bind(("127.0.0.1", 0))
@@ -72,17 +80,11 @@
             await conn.open()
             conn.read_answers(poller, lambda _, x: send_outcome.send_nowait(x))
             for request_id in ("r1", "r2"):
-                conn.send(a_call(request_id, n_bytes), DEADLINE_MS)
-                await conn.send_rest()
-                outcome = await outcomes.receive()
-                user_timeout = None
-                if not conn.closed:
-                    user_timeout = conn._stream._sock.getsockopt(
-                        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
-                    )
-                seen.append((outcome, user_timeout))
                 if conn.closed:
                     break
+                conn.send(a_call(request_id, n_bytes), DEADLINE_MS)
+                await conn.send_rest()
+                seen.append((await outcomes.receive(), user_timeout(conn)))
             conn.close()
             nursery.cancel_scope.cancel()
         return seen
