--- a/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
+++ b/packages/fuchsiagap-node/src/fuchsiagap_node/tests/core/mesh/test_graceful_close.py
@@ -74,6 +74,31 @@
         await trio.sleep(interval)
 
 
+async def stop_while_pipelining(host, pause_s):
+    """Stop a node as a caller pipelines requests, and end it at the end of the stop.
+
+    Returns
+    -------
+    tuple of bytes and bool
+        What the caller reads in all, and whether its connection was reset.
+    """
+    stream = connect_slow_reader(host.node.cfg.addresses.callers)
+    results = []
+    async with trio.open_nursery() as nursery:
+
+        async def read():
+            results.append(await read_slowly(stream, pause_s))
+
+        nursery.start_soon(read)
+        # Goes on sending for longer than the node runs.
+        nursery.start_soon(send_requests, stream, 100, 0.06)
+        await trio.sleep(0.5)
+        await host.node.stop()
+        host.kill()
+    stream.close()
+    return results[0]
+
+
 def split_responses(data):
     """Return the declared and the received length of the body of each response."""
     lengths = []
@@ -133,21 +158,7 @@
     def test_planned_stop_resets_no_responses_of_a_pipelining_caller(self):
         async def main():
             async with serving_host(b"x" * 30_000, 50.0) as (_, host):
-                stream = connect_slow_reader(host.node.cfg.addresses.callers)
-                results = []
-                async with trio.open_nursery() as nursery:
-
-                    async def read():
-                        results.append(await read_slowly(stream, 0.05))
-
-                    nursery.start_soon(read)
-                    # Goes on sending for longer than the node runs.
-                    nursery.start_soon(send_requests, stream, 100, 0.06)
-                    await trio.sleep(0.5)
-                    await host.node.stop()
-                    host.kill()
-                stream.close()
-                data, was_reset = results[0]
+                data, was_reset = await stop_while_pipelining(host, 0.05)
                 return split_responses(data), was_reset
 
         lengths, was_reset = run_on_loopback(main)
@@ -166,20 +177,8 @@
 
         async def main():
             async with serving_host(b"x" * 30_000) as (_, host):
-                stream = connect_slow_reader(host.node.cfg.addresses.callers)
-                results = []
-                async with trio.open_nursery() as nursery:
-
-                    async def read():
-                        results.append(await read_slowly(stream, pause_s))
-
-                    nursery.start_soon(read)
-                    nursery.start_soon(send_requests, stream, 100, 0.06)
-                    await trio.sleep(0.5)
-                    await host.node.stop()
-                    host.kill()
-                stream.close()
-                lengths = split_responses(results[0][0])
+                data, _ = await stop_while_pipelining(host, pause_s)
+                lengths = split_responses(data)
                 n_whole = lengths.count((30_000, 30_000))
                 return len(host.server.heads) - n_whole
 
